Lay out the workspace, the published types and the border traits

Cause: the repository is empty and the parts must be built side by side. Change: five crates, the HTTP bodies, identifiers, time types, frames between instances and the traits at the library's borders. No behaviour yet. Conclusion: module borders stand; nothing is measured.

--- /dev/null
+++ b/crates/figglade-testkit/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/figglade/src/controller/directory.rs
@@ -0,0 +1,1 @@
+//! The directory of targets, spread over all instances.
--- /dev/null
+++ b/crates/figglade/src/controller/event.rs
@@ -0,0 +1,1 @@
+//! Events of the time line and their hybrid logical clock.
--- /dev/null
+++ b/crates/figglade/src/controller/membership.rs
@@ -0,0 +1,1 @@
+//! Membership of instances by gossip with suspicion and incarnations.
--- /dev/null
+++ b/crates/figglade/src/controller/share.rs
@@ -0,0 +1,1 @@
+//! Shares of the connection caps of targets under leases.
--- /dev/null
+++ b/crates/figglade/src/controller/watch.rs
@@ -0,0 +1,1 @@
+//! Choice of the instances that watch a target.
--- /dev/null
+++ b/crates/figglade/src/filter/admission.rs
@@ -0,0 +1,1 @@
+//! Admission of requests: bounded, fair between indexes, refused early.
--- /dev/null
+++ b/crates/figglade/src/filter/merge.rs
@@ -0,0 +1,1 @@
+//! Merging of shard answers and accounting for coverage.
--- /dev/null
+++ b/crates/figglade/src/filter/mod.rs
@@ -0,0 +1,9 @@
+//! The chain that a request walks: admit, pin a snapshot, plan the fan-out, pick replicas, send,
+//! hedge and retry, merge and account for coverage.
+
+pub mod admission;
+pub mod budget;
+pub mod fanout;
+pub mod merge;
+pub mod picker;
+pub mod routing;
--- /dev/null
+++ b/crates/figglade/src/filter/picker.rs
@@ -0,0 +1,1 @@
+//! Choice of a replica from latency, load, zone and ejection.
--- /dev/null
+++ b/crates/figglade/src/filter/routing.rs
@@ -0,0 +1,1 @@
+//! Routing tables: which replicas hold which snapshot of an index.
--- /dev/null
+++ b/crates/figglade/src/peer.rs
@@ -0,0 +1,80 @@
+//! Frames that instances exchange, and their codec.
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// The largest payload of a frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// What the payload of a frame holds; the numbers are part of the peer protocol.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[repr(u16)]
+pub enum FrameKind {
+    /// A message of the membership protocol.
+    Membership = 1,
+    /// A message of the target directory.
+    Directory = 2,
+    /// A message of the quorum log.
+    Quorum = 3,
+    /// A request to the control group: propose, read, renew.
+    Control = 4,
+    /// A request for the events of the peer.
+    Events = 5,
+}
+
+impl FrameKind {
+    /// Returns the kind with this number, or `None` when a newer release introduced it.
+    pub const fn from_number(number: u16) -> Option<Self> {
+        match number {
+            1 => Some(Self::Membership),
+            2 => Some(Self::Directory),
+            3 => Some(Self::Quorum),
+            4 => Some(Self::Control),
+            5 => Some(Self::Events),
+            _ => None,
+        }
+    }
+
+    /// Returns the number of the kind in the peer protocol.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// One message between instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerFrame {
+    /// What the payload holds.
+    pub kind: FrameKind,
+    /// The encoded message.
+    pub payload: Bytes,
+}
+
+/// The reason a payload could not be encoded or decoded.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("peer payload: {reason}")]
+pub struct CodecError {
+    /// What the codec said.
+    reason: String,
+}
+
+/// Encodes a message with field names, so that neighbouring releases can add fields.
+///
+/// # Errors
+///
+/// Fails when the value cannot be represented, such as a map with non-string keys of odd types.
+pub fn encode_payload<T: Serialize>(value: &T) -> Result<Bytes, CodecError> {
+    rmp_serde::to_vec_named(value)
+        .map(Bytes::from)
+        .map_err(|error| CodecError { reason: error.to_string() })
+}
+
+/// Decodes a message; unknown fields are ignored.
+///
+/// # Errors
+///
+/// Fails when the payload is cut short or holds another type.
+pub fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, CodecError> {
+    rmp_serde::from_slice(payload).map_err(|error| CodecError { reason: error.to_string() })
+}
--- /dev/null
+++ b/crates/figgladed/src/lib.rs
@@ -0,0 +1,8 @@
+//! The daemon of the figglade query tier: it turns events into calls of the library and runs the
+//! actions that come back.
+
+pub mod log_store;
+pub mod metrics;
+pub mod peer_link;
+pub mod settings;
+pub mod timeline;
--- /dev/null
+++ b/crates/figgladed/src/log_store/mod.rs
@@ -0,0 +1,1 @@
+//! The quorum log on checksummed, synced segment files.
--- /dev/null
+++ b/crates/figgladed/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Instruments and their exposition.
--- /dev/null
+++ b/crates/figgladed/src/peer_link/mod.rs
@@ -0,0 +1,1 @@
+//! Links to other instances over capnp-rpc.
--- /dev/null
+++ b/crates/figgladed/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of one instance, read from a TOML file.
--- /dev/null
+++ b/crates/figgladed/src/timeline.rs
@@ -0,0 +1,1 @@
+//! The bounded store of events of this instance.
