--- a/crates/figgladed/src/lib.rs
+++ b/crates/figgladed/src/lib.rs
@@ -2,6 +2,7 @@
 //! actions that come back.
 
 pub mod log_store;
+pub mod logs;
 pub mod metrics;
 pub mod peer_link;
 pub mod settings;
--- /dev/null
+++ b/crates/figgladed/src/logs.rs
@@ -0,0 +1,1 @@
+//! Structured logs.
