Read, check and name every fault of an instance's settings

The settings were plain types without a reader, so a wrong value was reported by the TOML library alone and a role without keys could listen anywhere. The reader now walks one table of known keys, so that an unknown, missing or refused key is named with its file, value and what is allowed; a control member needs a data folder, ids are listed once, and a role without a key file listens on loopback only. Key files are bounded, kept as digests and compared in constant time.

--- a/crates/figgladed/src/settings.rs
+++ b/crates/figgladed/src/settings/mod.rs
@@ -1,10 +1,43 @@
 //! Settings of one instance, read from a TOML file.
 
+mod check;
+mod error;
+mod keys;
+mod parse;
+
 use std::{net::SocketAddr, path::PathBuf};
 
+use derive_more::{Display, FromStr};
 use figglade::{InstanceId, ZoneName};
 use serde::Deserialize;
 
+pub use self::{
+    check::MAX_CONTROL_MEMBERS,
+    error::{SettingsError, SettingsProblem},
+    keys::{KeySet, LoadedKeys, MAX_KEY_BYTES, MAX_KEYS_PER_FILE, MIN_KEY_BYTES},
+    parse::MAX_SETTINGS_BYTES,
+};
+
+/// The part a holder of a key plays.
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, Hash)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum Role {
+    /// Sends searches, lookups and actions.
+    Caller,
+    /// Announces itself and answers instances.
+    Target,
+    /// Changes the configuration and reads the state.
+    Operator,
+    /// Another instance.
+    Peer,
+}
+
+impl Role {
+    /// Every role.
+    pub const ALL: [Self; 4] = [Self::Caller, Self::Target, Self::Operator, Self::Peer];
+}
+
 /// Settings of one instance.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +58,9 @@
     /// How it logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// What it may use at most.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Who the instance is.
@@ -90,6 +126,18 @@
     pub peer: Option<PathBuf>,
 }
 
+impl KeySettings {
+    /// Returns the file with the keys of `role`.
+    pub fn file_of(&self, role: Role) -> Option<&PathBuf> {
+        match role {
+            Role::Caller => self.caller.as_ref(),
+            Role::Target => self.target.as_ref(),
+            Role::Operator => self.operator.as_ref(),
+            Role::Peer => self.peer.as_ref(),
+        }
+    }
+}
+
 /// How the instance logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -129,3 +177,31 @@
     /// Details for developers.
     Debug,
 }
+
+/// What the instance may use at most.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// The largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// The largest body of a target's answer, in bytes.
+    pub max_answer_bytes: usize,
+    /// The threads that run requests.
+    pub worker_threads: usize,
+    /// The events of the time line held in memory.
+    pub timeline_events: usize,
+    /// The size at which a file of the time line is rotated, in bytes; two files are kept.
+    pub timeline_file_bytes: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1 << 20,
+            max_answer_bytes: 4 << 20,
+            worker_threads: 4,
+            timeline_events: 4_096,
+            timeline_file_bytes: 4 << 20,
+        }
+    }
+}
