Add the request path: routing, fan-out, merging and the HTTP interface

Cause: the whole path must stand before its parts are deepened. Change: the filters (admission, routing, picker, fan-out, merge, budgets) as pure state machines, the pooled target client, the HTTP handlers and a control plane of one instance in memory.

--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod budget;
 pub mod fanout;
+pub mod latency;
 pub mod merge;
 pub mod picker;
 pub mod routing;
--- /dev/null
+++ b/crates/figgladed/src/api/caller.rs
@@ -0,0 +1,103 @@
+//! Handlers for callers: search, lookup, action.
+
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, Body, RequestContext, UntypedBody, endpoint};
+use figglade::{
+    Timestamp,
+    wire::{ActionOutcome, ActionRequest, LookupRequest, QueryRequest},
+};
+use http::{Response, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{
+    ApiContext, ApiError,
+    auth::check_key,
+    reply::{ApiResult, json_reply, parse_body, refuse},
+};
+use crate::{
+    settings::Role,
+    tier::{Refusal, TierError},
+};
+
+pub(super) fn register(api: &mut ApiDescription<Arc<ApiContext>>) -> Result<(), ApiError> {
+    api.register(run_query)?;
+    api.register(run_lookup)?;
+    api.register(run_action)?;
+    Ok(())
+}
+
+/// Searches every shard of an index.
+#[endpoint { method = POST, path = "/v1/query" }]
+async fn run_query(rqctx: RequestContext<Arc<ApiContext>>, body: UntypedBody) -> ApiResult {
+    let context = rqctx.context();
+    let received = context.clock.now();
+    let request = match open_request::<QueryRequest>(&rqctx, &body) {
+        Ok(request) => request,
+        Err(error) => return Ok(refuse_request(context, error.into())),
+    };
+    let answer = context.tier.run_query(request, received).await;
+    Ok(finish_request(context, "query", received, answer))
+}
+
+/// Reads the record that a key names.
+#[endpoint { method = POST, path = "/v1/lookup" }]
+async fn run_lookup(rqctx: RequestContext<Arc<ApiContext>>, body: UntypedBody) -> ApiResult {
+    let context = rqctx.context();
+    let received = context.clock.now();
+    let request = match open_request::<LookupRequest>(&rqctx, &body) {
+        Ok(request) => request,
+        Err(error) => return Ok(refuse_request(context, error.into())),
+    };
+    let answer = context.tier.run_lookup(request, received).await;
+    Ok(finish_request(context, "lookup", received, answer))
+}
+
+/// Runs an action at most once.
+#[endpoint { method = POST, path = "/v1/action" }]
+async fn run_action(rqctx: RequestContext<Arc<ApiContext>>, body: UntypedBody) -> ApiResult {
+    let context = Arc::clone(rqctx.context());
+    let received = context.clock.now();
+    let request = match open_request::<ActionRequest>(&rqctx, &body) {
+        Ok(request) => request,
+        Err(error) => return Ok(refuse_request(&context, error.into())),
+    };
+    // A caller that leaves must not stop an action between its claim and its outcome.
+    let tier = Arc::clone(&context.tier);
+    let running = tokio::spawn(async move { tier.run_action(request, received).await });
+    let answer = running.await.unwrap_or_else(|_| Err(failed_action()));
+    Ok(finish_request(&context, "action", received, answer))
+}
+
+fn open_request<T: DeserializeOwned>(
+    rqctx: &RequestContext<Arc<ApiContext>>,
+    body: &UntypedBody,
+) -> Result<T, TierError> {
+    check_key(&rqctx.context().keys, Role::Caller, rqctx.request.headers())?;
+    parse_body(body.as_bytes())
+}
+
+fn finish_request<T: Serialize>(
+    context: &ApiContext,
+    kind: &'static str,
+    received: Timestamp,
+    answer: Result<T, Refusal>,
+) -> Response<Body> {
+    match answer {
+        Ok(answer) => {
+            context.metrics.observe_latency(kind, context.clock.now().since(received));
+            json_reply(StatusCode::OK, &answer)
+        }
+        Err(refusal) => refuse_request(context, refusal),
+    }
+}
+
+fn refuse_request(context: &ApiContext, refusal: Refusal) -> Response<Body> {
+    context.metrics.count_refusal(refusal.error.code());
+    refuse(&refusal)
+}
+
+fn failed_action() -> Refusal {
+    let reason = "the action ended without an outcome".to_owned();
+    Refusal { error: TierError::Unavailable { reason }, outcome: ActionOutcome::Unknown }
+}
--- /dev/null
+++ b/crates/figgladed/src/api/platform.rs
@@ -0,0 +1,49 @@
+//! Handlers for the platform's balancer and the collector of metrics.
+
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, RequestContext, endpoint};
+use http::StatusCode;
+use serde_json::json;
+
+use super::{
+    ApiContext, ApiError,
+    auth::check_key,
+    reply::{ApiResult, json_reply, refuse, text_reply},
+};
+use crate::settings::Role;
+
+pub(super) fn register(api: &mut ApiDescription<Arc<ApiContext>>) -> Result<(), ApiError> {
+    api.register(ready)?;
+    api.register(live)?;
+    api.register(metrics)?;
+    Ok(())
+}
+
+/// Tells whether the balancer may send requests.
+#[endpoint { method = GET, path = "/v1/ready" }]
+async fn ready(rqctx: RequestContext<Arc<ApiContext>>) -> ApiResult {
+    Ok(match rqctx.context().control.unready_reason() {
+        None => json_reply(StatusCode::OK, &json!({ "ready": true })),
+        Some(reason) => {
+            let body = json!({ "ready": false, "reason": reason });
+            json_reply(StatusCode::SERVICE_UNAVAILABLE, &body)
+        }
+    })
+}
+
+/// Tells that the process runs.
+#[endpoint { method = GET, path = "/v1/live" }]
+async fn live(_rqctx: RequestContext<Arc<ApiContext>>) -> ApiResult {
+    Ok(json_reply(StatusCode::OK, &json!({ "live": true })))
+}
+
+/// Exposes the instruments as text.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(rqctx: RequestContext<Arc<ApiContext>>) -> ApiResult {
+    let context = rqctx.context();
+    Ok(match check_key(&context.keys, Role::Operator, rqctx.request.headers()) {
+        Ok(()) => text_reply(StatusCode::OK, context.metrics.render()),
+        Err(error) => refuse(&error.into()),
+    })
+}
--- a/crates/figgladed/src/lib.rs
+++ b/crates/figgladed/src/lib.rs
@@ -1,9 +1,14 @@
 //! The daemon of the figglade query tier: it turns events into calls of the library and runs the
 //! actions that come back.
 
+pub mod api;
+pub mod clock;
 pub mod log_store;
 pub mod logs;
 pub mod metrics;
 pub mod peer_link;
 pub mod settings;
+pub mod solo;
+pub mod target_client;
+pub mod tier;
 pub mod timeline;
--- /dev/null
+++ b/crates/figgladed/src/tier/board.rs
@@ -0,0 +1,158 @@
+//! What requests read: the routes and the settings of each index, in shards under their own locks.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use figglade::{
+    ConfigVersion, IndexName, ZoneName,
+    controller::fleet::FleetDefaults,
+    filter::{
+        budget::AttemptBudget,
+        fanout::{FanoutPolicy, FanoutTools},
+        latency::LatencyTracker,
+        picker::{EjectionCounter, LoadRegistry, ReplicaPicker},
+        routing::IndexRoute,
+    },
+};
+use parking_lot::{Mutex, RwLock};
+
+/// The shards of the board.
+const BOARD_SHARDS: usize = 16;
+
+/// One index as requests see it.
+#[derive(Clone, Debug)]
+pub struct IndexView {
+    /// The replicas of its snapshots.
+    pub route: Arc<IndexRoute>,
+    /// The settings in force for it.
+    pub settings: Arc<FleetDefaults>,
+    /// Budgets and estimates that its requests share.
+    pub tools: Arc<FanoutTools>,
+}
+
+/// Settings of the fleet as the board needs them.
+pub trait SettingsSource: Send + Sync {
+    /// Returns the version in force.
+    fn version(&self) -> ConfigVersion;
+
+    /// Returns the settings in force for `index`.
+    fn settings_of(&self, index: &IndexName) -> FleetDefaults;
+}
+
+type BoardShard = RwLock<HashMap<IndexName, IndexView>>;
+
+/// The routes and settings of all indexes.
+pub struct IndexBoard {
+    zone: ZoneName,
+    shards: Vec<BoardShard>,
+    settings: Arc<dyn SettingsSource>,
+    /// The estimates of every target.
+    pub registry: LoadRegistry,
+    publishing: Mutex<()>,
+}
+
+impl IndexBoard {
+    /// Starts without any index.
+    pub fn new(zone: ZoneName, settings: Arc<dyn SettingsSource>) -> Self {
+        Self {
+            zone,
+            shards: (0..BOARD_SHARDS).map(|_| BoardShard::default()).collect(),
+            settings,
+            registry: LoadRegistry::default(),
+            publishing: Mutex::default(),
+        }
+    }
+
+    /// Returns the present view of `index`.
+    pub fn view(&self, index: &IndexName) -> Option<IndexView> {
+        self.shard_of(index).read().get(index).cloned()
+    }
+
+    /// Lists the indexes known.
+    pub fn indexes(&self) -> Vec<IndexName> {
+        let names = |shard: &BoardShard| shard.read().keys().cloned().collect::<Vec<_>>();
+        let mut indexes: Vec<_> = self.shards.iter().flat_map(names).collect();
+        indexes.sort();
+        indexes
+    }
+
+    /// Replaces the route of `index`.
+    pub fn publish_route(&self, index: &IndexName, route: IndexRoute) {
+        let _guard = self.publishing.lock();
+        let settings = self.settings.settings_of(index);
+        let known = self.view(index);
+        let view = self.make_view(Arc::new(route), settings, known);
+        self.shard_of(index).write().insert(index.clone(), view);
+    }
+
+    /// Takes a new configuration in force for every index.
+    pub fn refresh_settings(&self) {
+        let _guard = self.publishing.lock();
+        for index in self.indexes() {
+            let Some(known) = self.view(&index) else { continue };
+            let settings = self.settings.settings_of(&index);
+            let view = self.make_view(Arc::clone(&known.route), settings, Some(known));
+            self.shard_of(&index).write().insert(index, view);
+        }
+    }
+
+    fn make_view(
+        &self,
+        route: Arc<IndexRoute>,
+        settings: FleetDefaults,
+        known: Option<IndexView>,
+    ) -> IndexView {
+        let targets = count_targets(&route);
+        let kept = known.filter(|known| *known.settings == settings);
+        let (settings, tools) = match kept {
+            Some(known) => (known.settings, known.tools),
+            None => {
+                let tools = self.make_tools(&settings);
+                (Arc::new(settings), Arc::new(tools))
+            }
+        };
+        tools.picker.ejections.set_targets(targets);
+        IndexView { route, settings, tools }
+    }
+
+    fn make_tools(&self, settings: &FleetDefaults) -> FanoutTools {
+        FanoutTools {
+            picker: ReplicaPicker {
+                zone: self.zone.clone(),
+                cold_start: Duration::from_millis(settings.cold_start_ms),
+                ejections: Arc::new(EjectionCounter::default()),
+            },
+            hedges: AttemptBudget::default(),
+            retries: AttemptBudget::default(),
+            latency: LatencyTracker::default(),
+        }
+    }
+
+    fn shard_of(&self, index: &IndexName) -> &BoardShard {
+        let hash = xxhash_rust::xxh3::xxh3_64(index.as_str().as_bytes());
+        &self.shards[(hash % BOARD_SHARDS as u64) as usize]
+    }
+}
+
+/// Returns the limits of a fan-out under `settings`.
+pub fn fanout_policy(settings: &FleetDefaults) -> FanoutPolicy {
+    FanoutPolicy {
+        hedge_tail: settings.hedge_tail,
+        hedge_budget: settings.hedge_budget,
+        hedge_min_delay: Duration::from_millis(settings.hedge_min_delay_ms),
+        retry_budget: settings.retry_budget,
+        max_attempts: settings.max_attempts,
+        max_ejected: settings.max_ejected,
+    }
+}
+
+fn count_targets(route: &IndexRoute) -> u32 {
+    let mut targets: Vec<_> = route
+        .snapshots
+        .iter()
+        .flat_map(|snapshot| snapshot.replicas.iter().flatten())
+        .map(|route| &route.target)
+        .collect();
+    targets.sort();
+    targets.dedup();
+    targets.len() as u32
+}
