Add the stand-in target with its faults

Cause: the tier can only be tried and tested against targets that speak the published interface and misbehave on demand. Change: StandIn serves search, act, cancel, health and load with slots, a bounded queue, a connection cap and a connect cost; it announces itself, drains, and records each action it runs.

--- a/crates/figglade-testkit/src/lib.rs
+++ b/crates/figglade-testkit/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Tools for testing figglade from outside: a stand-in target, a fault-injecting proxy and a
+//! harness for real processes.
+//!
+//! Nothing here decides anything for the tier; the crate only speaks its published interfaces.
+
+pub mod client;
+pub mod stand_in;
+
+pub use crate::{
+    client::{TestClient, TestClientError, TestReply},
+    stand_in::{
+        AnswerFault, ControlChange, FleetSettings, IndexLayout, RanAction, RegisterData,
+        ResetPoint, StandIn, StandInControl, StandInError, StandInFaults, StandInSettings,
+        StandInState,
+    },
+};
