Add the fleet configuration and the ledger state machine

The quorum log had no state machine and operators had no checked document. The fleet module parses and checks documents against one table of keys and resolves exceptions; the ledger applies configuration changes, claims, manifests and holder sets from versioned commands, free of clock and I/O.

--- a/crates/figglade/src/controller/fleet.rs
+++ b/crates/figglade/src/controller/fleet/mod.rs
@@ -1,6 +1,22 @@
 //! Fleet defaults and exceptions: what operators change at run time.
 
+mod document;
+mod keys;
+mod scope;
+
 use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::{ConfigVersion, IndexName, InstanceId, TargetId, ZoneName};
+
+pub use self::{
+    document::{
+        FleetDocument, FleetDraft, FleetError, MAX_DOCUMENT_BYTES, MAX_EXCEPTIONS,
+        MAX_REASON_BYTES, parse_document, parse_document_value, parse_draft,
+    },
+    keys::{FLEET_KEYS, FleetKey, KeyRange},
+    scope::{FleetScope, ScopeError},
+};
 
 /// What an instance does with a kind of request when it cannot prove that it is current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,3 +103,76 @@
         }
     }
 }
+
+/// Settings that replace the defaults within a scope.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetException {
+    /// What the exception applies to.
+    pub scope: FleetScope,
+    /// The keys replaced and their values, checked against [`FLEET_KEYS`].
+    pub set: Map<String, Value>,
+    /// Why the exception exists.
+    pub reason: String,
+}
+
+/// An accepted configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetConfig {
+    /// The version; 0 is the built-in configuration.
+    pub version: ConfigVersion,
+    /// The defaults of the fleet.
+    pub defaults: FleetDefaults,
+    /// The exceptions.
+    pub exceptions: Vec<FleetException>,
+}
+
+/// What a decision is about; the scopes that it does not concern are `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ResolveScope<'a> {
+    /// The index.
+    pub index: Option<&'a IndexName>,
+    /// The target.
+    pub target: Option<&'a TargetId>,
+    /// The availability zone.
+    pub zone: Option<&'a ZoneName>,
+    /// The instance.
+    pub instance: Option<&'a InstanceId>,
+}
+
+impl ResolveScope<'_> {
+    /// Returns whether an exception of `scope` applies.
+    fn is_within(&self, scope: &FleetScope) -> bool {
+        match scope {
+            FleetScope::Index(index) => self.index == Some(index),
+            FleetScope::Target(target) => self.target == Some(target),
+            FleetScope::Zone(zone) => self.zone == Some(zone),
+            FleetScope::Instance(instance) => self.instance == Some(instance),
+        }
+    }
+}
+
+impl FleetConfig {
+    /// Returns the settings for what `scope` names. An exception of a target goes before one of an
+    /// index, which goes before one of an instance, which goes before one of an availability zone;
+    /// keys without an exception take the default.
+    pub fn resolve(&self, scope: &ResolveScope<'_>) -> FleetDefaults {
+        let mut matching: Vec<&FleetException> =
+            self.exceptions.iter().filter(|exception| scope.is_within(&exception.scope)).collect();
+        // The variants of `FleetScope` stand in rising precedence.
+        matching.sort_by(|left, right| left.scope.cmp(&right.scope));
+        let mut settings = self.defaults.clone();
+        for exception in matching {
+            apply_settings(&mut settings, &exception.set);
+        }
+        settings
+    }
+}
+
+/// Sets each key of `set`; a key that this release does not know has no effect.
+fn apply_settings(settings: &mut FleetDefaults, set: &Map<String, Value>) {
+    for (name, value) in set {
+        if let Some(key) = FleetKey::find(name) {
+            key.apply(settings, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -0,0 +1,277 @@
+//! The state machine behind the quorum log: configuration, claims, manifests and share holders.
+//!
+//! Every member applies the same commands in the same order and must come to the same state, so
+//! nothing here reads a clock, draws a random number or depends on the order of a hash table.
+
+mod buckets;
+mod claims;
+mod command;
+mod config;
+mod manifests;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    RequestId, WallTime,
+    controller::{fleet::FleetConfig, quorum::LogIndex},
+    peer::{CodecError, decode_payload, encode_payload},
+};
+
+use self::{
+    claims::{ClaimLimits, ClaimTable},
+    config::ConfigBook,
+};
+
+pub use self::{
+    buckets::{BucketMove, CLAIM_BUCKETS, ClaimBucket, ClaimBuckets, ClaimGroup},
+    claims::{
+        CLAIM_GRACE_MS, ClaimHolder, ClaimReply, ClaimStatus, FinishReply, MAX_ALL_RESULT_BYTES,
+        MAX_CLAIMS, MAX_FUTURE_MS, MAX_FUTURE_REFUSALS, MAX_RECORD_REASON_BYTES, MAX_RESULT_BYTES,
+    },
+    command::{
+        COMMAND_VERSION, ClaimAbandon, ClaimFinish, CommandError, ConfigPut, HolderSet,
+        LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
+    },
+    config::{ConfigChange, ConfigOutcome, MAX_HISTORY, MAX_REMEMBERED_CHANGES},
+    manifests::{
+        KEPT_EPOCHS, KEPT_VERSIONS, MAX_ALL_SHARDS, MAX_INDEXES, MAX_REPORTS, MAX_SHARD_DOCUMENTS,
+        MAX_SHARDS, Manifest, ManifestRefusal, ManifestReply, ManifestReport, ManifestSet,
+        SnapshotKey,
+    },
+};
+
+/// The version of the encoded state; it rises whenever the meaning of the state changes.
+pub const STATE_VERSION: u16 = 1;
+/// The most instances in a holder set.
+pub const MAX_HOLDERS: usize = 10_000;
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerReply {
+    /// To a configuration change.
+    Config(ConfigOutcome),
+    /// To a claim.
+    Claim(ClaimReply),
+    /// To the end of a claim.
+    Finish(FinishReply),
+    /// To abandoned claims.
+    Abandoned {
+        /// The claims ended as unknown.
+        claims: u64,
+    },
+    /// To manifest reports.
+    Manifests(ManifestReply),
+    /// To a holder set.
+    Holders {
+        /// Whether the set replaced the one before.
+        accepted: bool,
+        /// The epoch in force.
+        epoch: u64,
+    },
+}
+
+/// The reason the ledger stopped. A member whose ledger stopped must take no further part, because
+/// its state would differ from that of the others.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum LedgerError {
+    /// A command cannot be read by this release.
+    #[display("command at index {index}: {error}")]
+    Unreadable {
+        /// The index of the command.
+        index: LogIndex,
+        /// What is wrong with it.
+        error: CommandError,
+    },
+    /// A command came a second time or out of order.
+    #[display("command at index {index} came after index {applied}")]
+    OutOfOrder {
+        /// The index of the command.
+        index: LogIndex,
+        /// The last index applied.
+        applied: LogIndex,
+    },
+    /// An earlier command stopped the ledger.
+    #[display("the ledger stopped at index {index}")]
+    Stopped {
+        /// The index of that command.
+        index: LogIndex,
+    },
+}
+
+/// The reason a state could not be encoded or decoded.
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
+pub enum StateError {
+    /// A newer release encoded the state.
+    #[display("state version {version} is newer than {STATE_VERSION}")]
+    #[from(ignore)]
+    TooNew {
+        /// The version found.
+        version: u16,
+    },
+    /// The bytes are no state.
+    #[display("{_0}")]
+    Codec(CodecError),
+}
+
+/// The state that every member derives from the log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// The last index applied.
+    applied: LogIndex,
+    /// The configuration and its past.
+    config: ConfigBook,
+    /// The claims.
+    claims: ClaimTable,
+    /// The manifests.
+    manifests: ManifestSet,
+    /// The share holders.
+    holders: HolderSet,
+    /// The index of the command that stopped the ledger.
+    #[serde(skip)]
+    stopped: Option<LogIndex>,
+}
+
+/// The state as it stands in a snapshot.
+#[derive(Serialize, Deserialize)]
+struct StateEnvelope {
+    /// The version of the state.
+    version: u16,
+    /// The encoded state.
+    state: Bytes,
+}
+
+impl Ledger {
+    /// Applies the command of the entry at `index`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the command cannot be read by this release or comes out of order. The ledger then
+    /// refuses every later command, and the member must stop.
+    pub fn apply(&mut self, index: LogIndex, command: &[u8]) -> Result<LedgerReply, LedgerError> {
+        if let Some(index) = self.stopped {
+            return Err(LedgerError::Stopped { index });
+        }
+        if index <= self.applied {
+            self.stopped = Some(index);
+            return Err(LedgerError::OutOfOrder { index, applied: self.applied });
+        }
+        let command = LedgerCommand::decode(command).map_err(|error| {
+            self.stopped = Some(index);
+            LedgerError::Unreadable { index, error }
+        })?;
+        self.applied = index;
+        Ok(self.apply_command(command))
+    }
+
+    /// Applies a decoded command.
+    fn apply_command(&mut self, command: LedgerCommand) -> LedgerReply {
+        let limits = self.claim_limits();
+        if let Some(wall) = command.wall() {
+            self.claims.advance(wall, limits);
+        }
+        match command {
+            LedgerCommand::PutConfig(put) => LedgerReply::Config(self.config.put(put)),
+            LedgerCommand::BeginClaim(claim) => {
+                LedgerReply::Claim(self.claims.begin(claim, limits))
+            }
+            LedgerCommand::FinishClaim(finish) => LedgerReply::Finish(self.claims.finish(finish)),
+            LedgerCommand::AbandonClaims(abandon) => {
+                LedgerReply::Abandoned { claims: self.claims.abandon(&abandon) }
+            }
+            LedgerCommand::RecordManifests(reports) => {
+                LedgerReply::Manifests(self.manifests.record(&reports))
+            }
+            LedgerCommand::SetHolders(holders) => self.set_holders(holders),
+        }
+    }
+
+    /// Replaces the holders when the epoch is newer.
+    fn set_holders(&mut self, holders: HolderSet) -> LedgerReply {
+        let accepted = holders.epoch > self.holders.epoch && holders.holders.len() <= MAX_HOLDERS;
+        if accepted {
+            self.holders = holders;
+        }
+        LedgerReply::Holders { accepted, epoch: self.holders.epoch }
+    }
+
+    /// Returns the limits that the latest configuration sets for claims.
+    fn claim_limits(&self) -> ClaimLimits {
+        let defaults = &self.config().defaults;
+        ClaimLimits {
+            window_ms: defaults.claim_window_ms,
+            max_deadline_ms: defaults.max_deadline_ms,
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the codec refuses a value.
+    pub fn encode_state(&self) -> Result<Bytes, StateError> {
+        let state = encode_payload(self)?;
+        Ok(encode_payload(&StateEnvelope { version: STATE_VERSION, state })?)
+    }
+
+    /// Decodes the state of a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state is damaged or was made by a newer release.
+    pub fn decode_state(bytes: &[u8]) -> Result<Self, StateError> {
+        let envelope: StateEnvelope = decode_payload(bytes)?;
+        if envelope.version > STATE_VERSION {
+            return Err(StateError::TooNew { version: envelope.version });
+        }
+        Ok(decode_payload(&envelope.state)?)
+    }
+
+    /// Returns the last index applied.
+    pub const fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Returns the latest configuration.
+    pub const fn config(&self) -> &Arc<FleetConfig> {
+        self.config.current()
+    }
+
+    /// Returns the latest changes of the configuration, oldest first, at most [`MAX_HISTORY`].
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &ConfigChange> {
+        self.config.history()
+    }
+
+    /// Returns the manifests.
+    pub const fn manifests(&self) -> &ManifestSet {
+        &self.manifests
+    }
+
+    /// Returns the share holders.
+    pub const fn holders(&self) -> &HolderSet {
+        &self.holders
+    }
+
+    /// Returns what is held about a request.
+    pub fn claim_status(&self, request: RequestId) -> Option<&ClaimStatus> {
+        self.claims.status(request)
+    }
+
+    /// Returns the open claims, oldest first.
+    pub fn open_claims(&self) -> impl Iterator<Item = (RequestId, &ClaimHolder)> {
+        self.claims.open()
+    }
+
+    /// Returns the number of claims held.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the ledger's clock: the highest wall time of any command.
+    pub const fn clock(&self) -> WallTime {
+        self.claims.clock()
+    }
+}
