--- a/crates/figgladed/src/lib.rs
+++ b/crates/figgladed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peer_link;
+pub mod runtime;
 pub mod settings;
 pub mod solo;
 pub mod target_client;
