--- /dev/null
+++ b/crates/figglade/src/controller/quorum/change.rs
@@ -0,0 +1,194 @@
+//! Changes of the members, one at a time.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+
+use crate::{
+    InstanceId, Timestamp,
+    controller::quorum::{
+        EntryPayload, LogIndex, MemberChangeError, MemberRole, MemberSet, MemberSpec, MessageBody,
+        QuorumAction, QuorumNode, StorageId, leader::LeaderState, node::NodeRole,
+        settings::MAX_MEMBERS,
+    },
+};
+
+/// A change of the members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MemberChange {
+    /// Adds a member that receives the log and does not vote.
+    AddLearner {
+        /// The instance.
+        id: InstanceId,
+        /// Where it listens for peers.
+        peer: SocketAddr,
+        /// Its storage; recorded with its first answer where it is not given.
+        storage: Option<StorageId>,
+    },
+    /// Makes a learner that has caught up a voter.
+    Promote {
+        /// The instance.
+        id: InstanceId,
+    },
+    /// Removes a member.
+    Remove {
+        /// The instance.
+        id: InstanceId,
+    },
+}
+
+impl QuorumNode {
+    /// Proposes a change of the members; it is in force from the moment it is in the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails, without a trace in the log, when this member does not lead, when an earlier change
+    /// or the first entry of the term is not committed, when a learner is not ready for promotion,
+    /// and when the changed group would have no reachable quorum.
+    pub fn change_members(
+        &mut self,
+        change: MemberChange,
+        now: Timestamp,
+    ) -> Result<(LogIndex, Vec<QuorumAction>), MemberChangeError> {
+        let changed = self.check_change(&change, now)?;
+        if let MemberChange::Remove { id } = &change {
+            self.keep_address(id);
+        }
+        let index = self.log.last_index().next();
+        self.append_own(vec![EntryPayload::Members(changed)], now);
+        Ok((index, self.take_actions()))
+    }
+
+    fn check_change(
+        &self,
+        change: &MemberChange,
+        now: Timestamp,
+    ) -> Result<MemberSet, MemberChangeError> {
+        let NodeRole::Leader(state) = &self.role else {
+            return Err(MemberChangeError::NotLeader { leader: self.leader.clone() });
+        };
+        if state.transfer.is_some() {
+            return Err(MemberChangeError::Transferring);
+        }
+        if self.commit < state.term_start {
+            return Err(MemberChangeError::TermNotCommitted);
+        }
+        if self.history.pending_after(self.commit).is_some() {
+            return Err(MemberChangeError::ChangePending);
+        }
+        let changed = match change {
+            MemberChange::AddLearner { id, peer, storage } => {
+                add_learner(self.members(), id, *peer, *storage)
+            }
+            MemberChange::Promote { id } => self.promote(state, id),
+            MemberChange::Remove { id } => remove(self.members(), id),
+        }?;
+        let timeout = self.settings.election_timeout;
+        if now >= state.quorum_contact(&self.settings.id, &changed) + timeout {
+            return Err(MemberChangeError::QuorumUnreachable);
+        }
+        Ok(changed)
+    }
+
+    fn promote(
+        &self,
+        state: &LeaderState,
+        id: &InstanceId,
+    ) -> Result<MemberSet, MemberChangeError> {
+        let mut changed = self.members().clone();
+        let Some(spec) = changed.members.get_mut(id) else {
+            return Err(MemberChangeError::NotMember { id: id.clone() });
+        };
+        if spec.role == MemberRole::Voter {
+            return Err(MemberChangeError::AlreadyVoter { id: id.clone() });
+        }
+        if spec.storage.is_none() {
+            return Err(MemberChangeError::StorageUnknown { id: id.clone() });
+        }
+        let progress = state.progress.get(id);
+        if progress.is_none_or(|progress| progress.match_index() < self.commit) {
+            return Err(MemberChangeError::NotCaughtUp { id: id.clone() });
+        }
+        spec.role = MemberRole::Voter;
+        Ok(changed)
+    }
+
+    /// Records the storage that a member reports for the first time.
+    pub(super) fn record_storage(&mut self, id: &InstanceId, now: Timestamp) {
+        let NodeRole::Leader(state) = &self.role else { return };
+        let reported = state.progress.get(id).and_then(|progress| progress.storage());
+        let is_free = self.commit >= state.term_start
+            && self.history.pending_after(self.commit).is_none()
+            && state.transfer.is_none();
+        let mut changed = self.members().clone();
+        let Some(spec) = changed.members.get_mut(id) else { return };
+        if !is_free || reported.is_none() || spec.storage.is_some() {
+            return;
+        }
+        spec.storage = reported;
+        self.append_own(vec![EntryPayload::Members(changed)], now);
+    }
+
+    /// Says goodbye to members whose removal is committed, so that they learn of it.
+    pub(super) fn finish_member_change(&mut self, now: Timestamp) {
+        let committed = self.history.at(self.commit).clone();
+        let current = self.members().clone();
+        let NodeRole::Leader(state) = &self.role else { return };
+        let is_gone = |id: &&InstanceId| {
+            ![&committed, &current].iter().any(|set| set.members.contains_key(*id))
+        };
+        let gone: Vec<_> = state.progress.keys().filter(is_gone).cloned().collect();
+        for id in gone {
+            self.replicate_to(&id, true, now);
+            self.drop_address(&id);
+            if let NodeRole::Leader(state) = &mut self.role {
+                state.progress.remove(&id);
+            }
+        }
+    }
+
+    /// Steps down once the removal of this member is committed; the best follower takes over.
+    pub(super) fn leave_when_removed(&mut self, now: Timestamp, rng: &mut impl Rng) {
+        let NodeRole::Leader(state) = &self.role else { return };
+        let is_member = |set: &MemberSet| set.members.contains_key(&self.settings.id);
+        if is_member(self.members()) || is_member(self.history.at(self.commit)) {
+            return;
+        }
+        let voters = self.members().voters();
+        let best = voters.max_by_key(|id| state.progress.get(*id).map(|found| found.match_index()));
+        if let Some(best) = best.cloned() {
+            self.send_heartbeats(now);
+            self.send(&best, MessageBody::TimeoutNow);
+        }
+        self.become_follower(None, now, rng);
+    }
+}
+
+fn add_learner(
+    members: &MemberSet,
+    id: &InstanceId,
+    peer: SocketAddr,
+    storage: Option<StorageId>,
+) -> Result<MemberSet, MemberChangeError> {
+    if members.members.contains_key(id) {
+        return Err(MemberChangeError::AlreadyMember { id: id.clone() });
+    }
+    if members.members.len() >= MAX_MEMBERS {
+        return Err(MemberChangeError::TooManyMembers);
+    }
+    let mut changed = members.clone();
+    changed.members.insert(id.clone(), MemberSpec { peer, storage, role: MemberRole::Learner });
+    Ok(changed)
+}
+
+fn remove(members: &MemberSet, id: &InstanceId) -> Result<MemberSet, MemberChangeError> {
+    if !members.members.contains_key(id) {
+        return Err(MemberChangeError::NotMember { id: id.clone() });
+    }
+    let mut changed = members.clone();
+    changed.members.remove(id);
+    if changed.voters().next().is_none() {
+        return Err(MemberChangeError::LastVoter);
+    }
+    Ok(changed)
+}
--- /dev/null
+++ b/crates/figglade/src/controller/quorum/election.rs
@@ -0,0 +1,193 @@
+//! Elections: pre-votes, votes and the start of a leadership.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use crate::{
+    InstanceId, Timestamp,
+    controller::quorum::{
+        EntryPayload, MemberSet, MessageBody, QuorumMessage, QuorumNode, StorageId, Term,
+        VoteAnswer, VoteRequest,
+        leader::LeaderState,
+        node::{NodeRole, StorageStanding},
+    },
+};
+
+/// The votes given so far, with the storage of each voter.
+#[derive(Clone, Debug)]
+pub(super) struct VoteTally {
+    votes: BTreeMap<InstanceId, StorageId>,
+}
+
+impl VoteTally {
+    fn start(own_id: &InstanceId, storage: StorageId) -> Self {
+        Self { votes: BTreeMap::from([(own_id.clone(), storage)]) }
+    }
+
+    /// Returns the members with the storage of each voter that had none recorded.
+    fn record_storages(&self, members: &MemberSet) -> MemberSet {
+        let mut recorded = members.clone();
+        for (id, spec) in &mut recorded.members {
+            spec.storage = spec.storage.or_else(|| self.votes.get(id).copied());
+        }
+        recorded
+    }
+}
+
+impl QuorumNode {
+    /// Starts a pre-vote where this member may campaign.
+    pub(super) fn handle_election_timeout(&mut self, now: Timestamp, rng: &mut impl Rng) {
+        self.become_follower(None, now, rng);
+        self.reset_election_deadline(now, rng);
+        if !self.may_campaign() {
+            return;
+        }
+        let tally = VoteTally::start(&self.settings.id, self.own_storage());
+        self.role = NodeRole::PreCandidate(tally);
+        let next_term = Term::new(self.term.get() + 1);
+        self.ask_voters(&MessageBody::PreVote(self.vote_request(next_term, false)));
+        self.follow_tally(now);
+    }
+
+    /// Starts an election; `is_transfer` tells that the leader asked for it.
+    pub(super) fn start_campaign(&mut self, is_transfer: bool, now: Timestamp) {
+        self.enter_own_term();
+        self.set_leader(None);
+        let tally = VoteTally::start(&self.settings.id, self.own_storage());
+        self.role = NodeRole::Candidate(tally);
+        self.ask_voters(&MessageBody::Vote(self.vote_request(self.term, is_transfer)));
+        self.follow_tally(now);
+    }
+
+    /// Answers a pre-vote; nothing about this member changes.
+    pub(super) fn handle_pre_vote(
+        &mut self,
+        from: &InstanceId,
+        message: &QuorumMessage,
+        request: &VoteRequest,
+        now: Timestamp,
+    ) {
+        let is_granted = request.next_term > self.term
+            && message.term < request.next_term
+            && self.is_log_recent(request)
+            && self.is_storage_trusted()
+            && !self.hears_leader(now);
+        let answer = VoteAnswer { next_term: request.next_term, is_granted };
+        self.send(from, MessageBody::PreVoteAnswer(answer));
+    }
+
+    /// Answers a vote, unless a leader was heard from within the shortest election timeout: its
+    /// lease rests on that.
+    pub(super) fn handle_vote(
+        &mut self,
+        from: &InstanceId,
+        message: &QuorumMessage,
+        request: &VoteRequest,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) {
+        if message.term > self.term {
+            if !request.is_transfer && self.hears_leader(now) {
+                return;
+            }
+            self.adopt_term(message.term, now, rng);
+        }
+        let is_free = self.voted_for.as_ref().is_none_or(|candidate| candidate == from);
+        let is_granted = request.next_term == self.term
+            && is_free
+            && matches!(self.role, NodeRole::Follower)
+            && self.is_log_recent(request)
+            && self.is_storage_trusted();
+        if is_granted {
+            self.record_vote(from);
+            self.reset_election_deadline(now, rng);
+        }
+        let answer = VoteAnswer { next_term: request.next_term, is_granted };
+        self.send(from, MessageBody::VoteAnswer(answer));
+    }
+
+    /// Counts an answer to a pre-vote or a vote.
+    pub(super) fn count_vote(
+        &mut self,
+        from: &InstanceId,
+        message: &QuorumMessage,
+        answer: &VoteAnswer,
+        now: Timestamp,
+    ) {
+        if !answer.is_granted {
+            return;
+        }
+        let asked_term = match (&self.role, &message.body) {
+            (NodeRole::PreCandidate(_), MessageBody::PreVoteAnswer(_)) => self.term.get() + 1,
+            (NodeRole::Candidate(_), MessageBody::VoteAnswer(_)) => self.term.get(),
+            _ => return,
+        };
+        if answer.next_term.get() != asked_term {
+            return;
+        }
+        if let NodeRole::PreCandidate(tally) | NodeRole::Candidate(tally) = &mut self.role {
+            tally.votes.insert(from.clone(), message.storage);
+        }
+        self.follow_tally(now);
+    }
+
+    /// Goes on to the election or the leadership once the votes suffice.
+    fn follow_tally(&mut self, now: Timestamp) {
+        match &self.role {
+            NodeRole::PreCandidate(tally) if self.members().is_elected_by(&tally.votes) => {
+                self.start_campaign(false, now);
+            }
+            NodeRole::Candidate(tally) if self.members().is_elected_by(&tally.votes) => {
+                let recorded = tally.record_storages(self.members());
+                self.become_leader(recorded, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a leadership with an entry of its term, which commits what earlier terms left.
+    fn become_leader(&mut self, recorded: MemberSet, now: Timestamp) {
+        let payload = if recorded == *self.members() {
+            EntryPayload::Noop
+        } else {
+            EntryPayload::Members(recorded)
+        };
+        let term_start = self.log.last_index().next();
+        let heartbeat_due = now + self.settings.heartbeat_period;
+        let mut state = LeaderState::new(term_start, heartbeat_due);
+        state.follow_members(&self.settings.id, self.members(), term_start, now);
+        self.role = NodeRole::Leader(Box::new(state));
+        self.standing = StorageStanding::Accepted;
+        self.assembly = None;
+        self.set_leader(Some(self.settings.id.clone()));
+        self.append_own(vec![payload], now);
+    }
+
+    fn may_campaign(&self) -> bool {
+        self.members().is_voter(&self.settings.id) && self.is_storage_trusted()
+    }
+
+    /// Returns whether the log of a candidate holds everything that may be committed here.
+    fn is_log_recent(&self, request: &VoteRequest) -> bool {
+        let own = (self.log.last_term(), self.log.last_index());
+        (request.last_term, request.last_index) >= own
+    }
+
+    fn vote_request(&self, next_term: Term, is_transfer: bool) -> VoteRequest {
+        VoteRequest {
+            next_term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            is_transfer,
+        }
+    }
+
+    fn ask_voters(&mut self, body: &MessageBody) {
+        let is_other = |id: &&InstanceId| **id != self.settings.id;
+        let others: Vec<_> = self.members().voters().filter(is_other).cloned().collect();
+        for id in &others {
+            self.send(id, body.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/figglade/src/controller/quorum/leader.rs
@@ -0,0 +1,95 @@
+//! What only a leader keeps.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::{
+    InstanceId, Timestamp,
+    controller::quorum::{LogIndex, MemberSet, ReadTicket, RoundStamp, progress::FollowerProgress},
+};
+
+/// A read that waits for a quorum to confirm the leader.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRead {
+    pub(super) ticket: ReadTicket,
+    pub(super) round: u64,
+}
+
+/// A transfer of the leadership under way.
+#[derive(Clone, Debug)]
+pub(super) struct LeadershipTransfer {
+    pub(super) to: InstanceId,
+    pub(super) deadline: Timestamp,
+    pub(super) is_sent: bool,
+}
+
+/// What only a leader keeps.
+#[derive(Clone, Debug)]
+pub(super) struct LeaderState {
+    pub(super) progress: BTreeMap<InstanceId, FollowerProgress>,
+    /// The index of the first entry of the term.
+    pub(super) term_start: LogIndex,
+    pub(super) heartbeat_due: Timestamp,
+    pub(super) round: u64,
+    pub(super) reads: VecDeque<PendingRead>,
+    pub(super) transfer: Option<LeadershipTransfer>,
+    /// Whether a follower was asked to campaign in this term: it may do so at any later time and
+    /// voters do not wait for the lease to end then.
+    pub(super) is_lease_given_up: bool,
+}
+
+impl LeaderState {
+    /// Starts a leadership whose first entry will be at `term_start`.
+    pub(super) const fn new(term_start: LogIndex, heartbeat_due: Timestamp) -> Self {
+        Self {
+            progress: BTreeMap::new(),
+            term_start,
+            heartbeat_due,
+            round: 1,
+            reads: VecDeque::new(),
+            transfer: None,
+            is_lease_given_up: false,
+        }
+    }
+
+    /// Starts to track members that were added; members that left stay until they are dropped.
+    pub(super) fn follow_members(
+        &mut self,
+        own_id: &InstanceId,
+        members: &MemberSet,
+        next_index: LogIndex,
+        now: Timestamp,
+    ) {
+        let last_index = super::log::previous(next_index);
+        for id in members.members.keys().filter(|id| *id != own_id) {
+            self.progress
+                .entry(id.clone())
+                .or_insert_with(|| FollowerProgress::new(last_index, now));
+        }
+    }
+
+    /// Returns the latest time at which a majority of `members` was heard from.
+    pub(super) fn quorum_contact(&self, own_id: &InstanceId, members: &MemberSet) -> Timestamp {
+        let contact = members.majority_value(|id| {
+            if id == own_id {
+                return Some(Timestamp::from_micros(u64::MAX));
+            }
+            self.progress.get(id).map(FollowerProgress::last_heard)
+        });
+        contact.unwrap_or_default()
+    }
+
+    /// Returns the latest round that a majority of `members` has answered, this member by `own`.
+    pub(super) fn quorum_round(
+        &self,
+        own_id: &InstanceId,
+        members: &MemberSet,
+        own: RoundStamp,
+    ) -> Option<RoundStamp> {
+        members.majority_value(|id| {
+            if id == own_id {
+                return Some(own);
+            }
+            self.progress.get(id).and_then(FollowerProgress::acked)
+        })
+    }
+}
--- /dev/null
+++ b/crates/figglade/src/controller/quorum/members.rs
@@ -0,0 +1,110 @@
+//! Quorums of a member set, and the member sets of the log.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    InstanceId,
+    controller::quorum::{EntryPayload, LogEntry, LogIndex, MemberRole, MemberSet, StorageId},
+};
+
+impl MemberSet {
+    /// Returns the voters in the order of their names.
+    pub fn voters(&self) -> impl Iterator<Item = &InstanceId> {
+        let members = self.members.iter();
+        members.filter(|(_, spec)| spec.role == MemberRole::Voter).map(|(id, _)| id)
+    }
+
+    /// Returns whether the instance is a voter.
+    pub fn is_voter(&self, id: &InstanceId) -> bool {
+        self.members.get(id).is_some_and(|spec| spec.role == MemberRole::Voter)
+    }
+
+    /// Returns the storage recorded for the instance.
+    pub fn storage_of(&self, id: &InstanceId) -> Option<StorageId> {
+        self.members.get(id).and_then(|spec| spec.storage)
+    }
+
+    /// Returns how many voters make a majority.
+    pub fn majority(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Returns whether the storage of a voter is not recorded yet.
+    pub fn has_unknown_voter(&self) -> bool {
+        self.voters().any(|id| self.storage_of(id).is_none())
+    }
+
+    /// Returns whether these votes win an election.
+    ///
+    /// A majority wins once every storage is recorded. Before, every voter must agree: a member
+    /// that lost its disk looks like one that never had any, and together with one that never
+    /// started it could otherwise found the group a second time.
+    pub(super) fn is_elected_by(&self, votes: &BTreeMap<InstanceId, StorageId>) -> bool {
+        let is_counted = |id: &&InstanceId| {
+            let recorded = self.storage_of(id);
+            votes.get(*id).is_some_and(|storage| recorded.is_none_or(|known| known == *storage))
+        };
+        let counted = self.voters().filter(is_counted).count();
+        let needed = if self.has_unknown_voter() { self.voters().count() } else { self.majority() };
+        counted > 0 && counted >= needed
+    }
+
+    /// Returns the greatest value that a majority of the voters has reached.
+    pub(super) fn majority_value<T: Ord>(
+        &self,
+        value_of: impl Fn(&InstanceId) -> Option<T>,
+    ) -> Option<T> {
+        let mut values: Vec<_> = self.voters().map(value_of).collect();
+        values.sort_by(|left, right| right.cmp(left));
+        values.into_iter().nth(self.majority() - 1).flatten()
+    }
+}
+
+/// The member sets of the log by the index that brought them.
+#[derive(Clone, Debug)]
+pub(super) struct MemberHistory {
+    base: MemberSet,
+    changes: Vec<(LogIndex, MemberSet)>,
+}
+
+impl MemberHistory {
+    /// Starts from the set that holds before any held entry.
+    pub(super) const fn new(base: MemberSet) -> Self {
+        Self { base, changes: Vec::new() }
+    }
+
+    /// Returns the set in use: the last one in the log, committed or not.
+    pub(super) fn current(&self) -> &MemberSet {
+        self.changes.last().map_or(&self.base, |(_, set)| set)
+    }
+
+    /// Returns the set in use at an index.
+    pub(super) fn at(&self, index: LogIndex) -> &MemberSet {
+        let before = self.changes.iter().rev().find(|(at, _)| *at <= index);
+        before.map_or(&self.base, |(_, set)| set)
+    }
+
+    /// Returns the index of the last change after `commit`.
+    pub(super) fn pending_after(&self, commit: LogIndex) -> Option<LogIndex> {
+        self.changes.last().map(|(at, _)| *at).filter(|at| *at > commit)
+    }
+
+    /// Follows an append; returns whether the set in use changed.
+    pub(super) fn follow_append(&mut self, entries: &[LogEntry]) -> bool {
+        let Some(first) = entries.first() else { return false };
+        let before = self.current().clone();
+        self.changes.retain(|(at, _)| *at < first.index);
+        for entry in entries {
+            if let EntryPayload::Members(set) = &entry.payload {
+                self.changes.push((entry.index, set.clone()));
+            }
+        }
+        *self.current() != before
+    }
+
+    /// Forgets the sets that a snapshot at `upto` covers.
+    pub(super) fn compact(&mut self, upto: LogIndex) {
+        self.base = self.at(upto).clone();
+        self.changes.retain(|(at, _)| *at > upto);
+    }
+}
--- a/crates/figglade/src/controller/quorum/types.rs
+++ b/crates/figglade/src/controller/quorum/types.rs
@@ -112,7 +112,7 @@
 }
 
 /// One member of the control group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MemberSpec {
     /// Where the member listens for peers.
     pub peer: SocketAddr,
@@ -123,14 +123,14 @@
 }
 
 /// The members of the control group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MemberSet {
     /// The members by instance.
     pub members: BTreeMap<InstanceId, MemberSpec>,
 }
 
 /// What an entry carries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EntryPayload {
     /// Nothing; a new leader commits one to learn what is committed.
     Noop,
@@ -141,7 +141,7 @@
 }
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LogEntry {
     /// Its index.
     pub index: LogIndex,
@@ -152,7 +152,7 @@
 }
 
 /// The term and vote that must survive a restart.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HardState {
     /// The latest term seen.
     pub term: Term,
@@ -161,7 +161,7 @@
 }
 
 /// The state machine up to an index.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LogSnapshot {
     /// The last index covered.
     pub last_index: LogIndex,
