--- /dev/null
+++ b/crates/figgladed/src/log_store/files.rs
@@ -0,0 +1,192 @@
+//! Files that are replaced as a whole, and what a failed call of the system means.
+
+use std::{
+    fs::{self, File},
+    io::{ErrorKind, Write},
+    path::{Path, PathBuf},
+};
+
+use figglade::border::LogStoreError;
+
+/// The version of the layout of every file.
+pub(super) const FORMAT_VERSION: u32 = 1;
+/// The bytes before the content of a sealed file: magic, format version, content length, checksum.
+pub(super) const SEAL_BYTES: usize = 24;
+/// The name that a file bears until it is complete.
+const TEMPORARY_SUFFIX: &str = "tmp";
+
+/// The first bytes of each kind of file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FileKind {
+    /// The identity of the folder.
+    Identity,
+    /// The term and vote.
+    HardState,
+    /// The snapshot.
+    Snapshot,
+    /// The synced length of the last segment.
+    SyncedMark,
+    /// Records of the log.
+    Segment,
+}
+
+impl FileKind {
+    /// Returns the first bytes of the file.
+    pub(super) const fn magic(self) -> &'static [u8; 8] {
+        match self {
+            Self::Identity => b"FIGGIDEN",
+            Self::HardState => b"FIGGHARD",
+            Self::Snapshot => b"FIGGSNAP",
+            Self::SyncedMark => b"FIGGSYNC",
+            Self::Segment => b"FIGGSEGM",
+        }
+    }
+}
+
+/// Turns a failed call of the system into an error of the store.
+pub(super) fn io_error(operation: &str, path: &Path, error: &std::io::Error) -> LogStoreError {
+    let path = path.display().to_string();
+    match error.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+            LogStoreError::Full { path }
+        }
+        _ => LogStoreError::Io { operation: operation.to_owned(), path, reason: error.to_string() },
+    }
+}
+
+/// Builds an error about a request that the store refuses.
+pub(super) fn refusal(operation: &str, path: &Path, reason: String) -> LogStoreError {
+    LogStoreError::Io { operation: operation.to_owned(), path: path.display().to_string(), reason }
+}
+
+/// Builds an error about damage at `offset`.
+pub(super) fn corrupt(path: &Path, offset: u64, reason: impl Into<String>) -> LogStoreError {
+    LogStoreError::Corrupt { path: path.display().to_string(), offset, reason: reason.into() }
+}
+
+/// Puts a checksummed header before `content`.
+pub(super) fn seal(kind: FileKind, content: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(SEAL_BYTES + content.len());
+    bytes.extend_from_slice(kind.magic());
+    bytes.extend_from_slice(&FORMAT_VERSION.to_le_bytes());
+    bytes.extend_from_slice(&(content.len() as u64).to_le_bytes());
+    let checksum = checksum_of(&[&bytes, content]);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes.extend_from_slice(content);
+    bytes
+}
+
+/// Returns the content of a sealed file.
+pub(super) fn unseal<'a>(
+    kind: FileKind,
+    path: &Path,
+    bytes: &'a [u8],
+) -> Result<&'a [u8], LogStoreError> {
+    if bytes.len() < SEAL_BYTES {
+        return Err(corrupt(path, bytes.len() as u64, "the file ends within its header"));
+    }
+    let (header, content) = bytes.split_at(SEAL_BYTES);
+    check_start(kind, path, header)?;
+    if read_u64(header, 12) != content.len() as u64 {
+        return Err(corrupt(path, 12, "the length does not match the file"));
+    }
+    if read_u32(header, 20) != checksum_of(&[&header[..20], content]) {
+        return Err(corrupt(path, SEAL_BYTES as u64, "the checksum does not match"));
+    }
+    Ok(content)
+}
+
+/// Checks the magic and the format version at the start of a file.
+pub(super) fn check_start(kind: FileKind, path: &Path, header: &[u8]) -> Result<(), LogStoreError> {
+    if &header[..8] != kind.magic() {
+        return Err(corrupt(path, 0, "the file does not start with its magic bytes"));
+    }
+    let version = read_u32(header, 8);
+    if version != FORMAT_VERSION {
+        let reason = format!("format version {version} is not {FORMAT_VERSION}");
+        return Err(corrupt(path, 8, reason));
+    }
+    Ok(())
+}
+
+/// Reads a whole file, or `None` when it does not exist.
+pub(super) fn read_file(path: &Path) -> Result<Option<Vec<u8>>, LogStoreError> {
+    match fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(io_error("read", path, &error)),
+    }
+}
+
+/// Replaces a file: after a crash it holds the old bytes or the new ones, never a mix.
+pub(super) fn replace_file(path: &Path, bytes: &[u8]) -> Result<(), LogStoreError> {
+    stage_file(path, bytes)?;
+    commit_file(path)
+}
+
+/// Writes and syncs the bytes that [`commit_file`] will put in place.
+pub(super) fn stage_file(path: &Path, bytes: &[u8]) -> Result<(), LogStoreError> {
+    let staged = staged_path(path);
+    let written = File::create(&staged).and_then(|mut file| {
+        file.write_all(bytes)?;
+        file.sync_all()
+    });
+    written.map_err(|error| {
+        // A half-written file helps nobody and may hold the space that is short.
+        let _ = fs::remove_file(&staged);
+        io_error("write", &staged, &error)
+    })
+}
+
+/// Puts the staged bytes in place and syncs the folder.
+pub(super) fn commit_file(path: &Path) -> Result<(), LogStoreError> {
+    fs::rename(staged_path(path), path).map_err(|error| io_error("rename", path, &error))?;
+    sync_folder(path.parent().unwrap_or(Path::new(".")))
+}
+
+/// Returns the path of the bytes that wait for [`commit_file`].
+fn staged_path(path: &Path) -> PathBuf {
+    path.with_added_extension(TEMPORARY_SUFFIX)
+}
+
+/// Returns whether a crash left this file half made.
+pub(super) fn is_staged(path: &Path) -> bool {
+    path.extension().is_some_and(|extension| extension == TEMPORARY_SUFFIX)
+}
+
+/// Syncs a folder, so that new and renamed files in it survive a crash.
+pub(super) fn sync_folder(folder: &Path) -> Result<(), LogStoreError> {
+    let synced = File::open(folder).and_then(|file| file.sync_all());
+    synced.map_err(|error| io_error("sync", folder, &error))
+}
+
+/// Returns the checksum of some parts in a row.
+pub(super) fn checksum_of(parts: &[&[u8]]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.finalize()
+}
+
+/// Reads a number of 4 bytes.
+///
+/// # Panics
+///
+/// Panics when `bytes` ends before it.
+pub(super) fn read_u32(bytes: &[u8], offset: usize) -> u32 {
+    let mut number = [0; 4];
+    number.copy_from_slice(&bytes[offset..offset + 4]);
+    u32::from_le_bytes(number)
+}
+
+/// Reads a number of 8 bytes.
+///
+/// # Panics
+///
+/// Panics when `bytes` ends before it.
+pub(super) fn read_u64(bytes: &[u8], offset: usize) -> u64 {
+    let mut number = [0; 8];
+    number.copy_from_slice(&bytes[offset..offset + 8]);
+    u64::from_le_bytes(number)
+}
