Add gossip membership, the target directory and watcher choice

Cause: instances need to know each other, every announced target and who watches it, without an outside store. Change: a SWIM-like membership controller with refutation, rejoin of lost halves and paged anti-entropy; a target directory with rumors, renewals to two watchers and lapses; rendezvous choice of watchers. Announcements gain an optional sequence number.

--- a/crates/figglade/src/controller/directory.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The directory of targets, spread over all instances.
--- /dev/null
+++ b/crates/figglade/src/controller/directory/reconcile.rs
@@ -0,0 +1,298 @@
+//! Renewals, lapses and anti-entropy of the directory.
+
+use std::net::SocketAddr;
+
+use rand::{Rng, RngExt, seq::IndexedRandom};
+
+use super::{
+    controller::TargetDirectory,
+    types::{DirectoryAction, DirectoryMessage, DirectoryRecord, TargetKey},
+    watches::{QUERY_TIMEOUT, TargetWatch, WatchPhase},
+};
+use crate::{
+    Incarnation, InstanceId, Timestamp,
+    controller::{
+        membership::{
+            PeerRef,
+            sync::{
+                SyncMessage, SyncSession, SyncStep, answer_exchange, answer_start, index_digests,
+            },
+        },
+        watch::{WATCHERS_PER_TARGET, WatcherRanking},
+    },
+};
+
+/// The ranks computed in one tick while new watchers are found after a change of members.
+const RANKS_PER_TICK: usize = 100_000;
+
+/// The time between two attempts to load the directory.
+const COLD_SYNC_PERIOD: std::time::Duration = std::time::Duration::from_millis(500);
+
+impl TargetDirectory {
+    /// Takes over the live instances; when they changed, the watches are gone through again and
+    /// the directory is compared with an instance that was not there before.
+    pub(super) fn update_peers(&mut self, peers: &[PeerRef], now: Timestamp) {
+        if self.peers == peers {
+            return;
+        }
+        let known = std::mem::take(&mut self.peer_addresses);
+        let added = peers.iter().find(|peer| !known.contains_key(&peer.id));
+        if let Some(added) = added {
+            self.next_partner = Some(added.peer);
+            self.next_sync = self.next_sync.min(now);
+        }
+        self.peer_addresses = peers.iter().map(|peer| (peer.id.clone(), peer.peer)).collect();
+        let own = std::iter::once(self.settings.id.clone());
+        self.ranking = WatcherRanking::new(self.peer_addresses.keys().cloned().chain(own));
+        self.peers = peers.to_vec();
+        self.unchecked = self.table.len();
+        self.next_check = self.next_check.min(now);
+    }
+
+    /// Goes on checking which targets this instance watches since the members changed.
+    pub(super) fn check_watches(&mut self, now: Timestamp) {
+        if self.unchecked == 0 || now < self.next_check {
+            return;
+        }
+        self.next_check = now + self.settings.timing.gossip_period;
+        let count = (RANKS_PER_TICK / self.ranking.len().max(1)).max(1).min(self.unchecked);
+        let cursor = self.checked_up_to;
+        let keys: Vec<u64> =
+            self.table.entries_after(cursor).take(count).map(|(key, _)| key).collect();
+        self.unchecked -= count;
+        // The walk goes round, so frequent changes of members do not starve the last targets.
+        self.checked_up_to = if keys.len() < count { None } else { keys.last().copied() };
+        for key in keys {
+            self.watch_if_chosen(key, now);
+        }
+    }
+
+    /// Starts to watch a target that this instance is chosen for, with a full period to renew, and
+    /// ends the watch of one that it is not chosen for or that needs none.
+    pub(super) fn watch_if_chosen(&mut self, key: u64, now: Timestamp) {
+        let Some(entry) = self.table.entry(key) else { return };
+        let incarnation = entry.announcement().incarnation;
+        if entry.record.is_quiet() || !self.is_watcher(key) {
+            self.watches.remove(key);
+            return;
+        }
+        let watched = self.watches.watch(key);
+        if watched.is_none_or(|watch| watch.incarnation != incarnation) {
+            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+        }
+    }
+
+    /// Returns whether this instance watches the target with `key`.
+    fn is_watcher(&self, key: u64) -> bool {
+        self.ranking.is_watcher(&self.settings.id, key, WATCHERS_PER_TARGET)
+    }
+
+    /// Returns the other instances that watch the target with `key`.
+    fn other_watchers(&self, key: u64) -> Vec<InstanceId> {
+        let own = &self.settings.id;
+        let watchers = self.ranking.top(key, WATCHERS_PER_TARGET);
+        watchers.filter(|id| *id != own).cloned().collect()
+    }
+
+    /// Takes note that a target renewed its announcement; one that had lapsed is back.
+    pub(super) fn handle_renewal(&mut self, key: u64, incarnation: Incarnation, now: Timestamp) {
+        let Some(entry) = self.table.entry(key) else { return };
+        if entry.announcement().incarnation != incarnation {
+            return;
+        }
+        if entry.record.lapses.is_lapsed() {
+            self.turn_lapse(key, now);
+        }
+        if self.is_watcher(key) {
+            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+        }
+    }
+
+    /// Lapses a target, or brings it back, and spreads that.
+    fn turn_lapse(&mut self, key: u64, now: Timestamp) {
+        let Some(entry) = self.table.entry(key) else { return };
+        let lapses = entry.record.lapses.next();
+        let record = DirectoryRecord { lapses, quiet_ms: 0, ..entry.record.clone() };
+        self.table.put(key, record);
+        self.spread_lapse(key, now);
+    }
+
+    /// Queues a renewal for the watchers of the target.
+    pub(super) fn forward_renewal(&mut self, key: u64, incarnation: Incarnation) {
+        for watcher in self.other_watchers(key) {
+            self.renewals.entry(watcher).or_default().insert((key, incarnation));
+        }
+    }
+
+    /// Sends the renewals that were gathered.
+    pub(super) fn send_renewals(&mut self, now: Timestamp, actions: &mut Vec<DirectoryAction>) {
+        if now < self.next_renewals || self.renewals.is_empty() {
+            return;
+        }
+        self.next_renewals = now + self.settings.timing.renewal_period;
+        for (watcher, targets) in std::mem::take(&mut self.renewals) {
+            let Some(to) = self.peer_addresses.get(&watcher) else { continue };
+            let targets = targets.into_iter().map(|(key, start)| TargetKey(key, start)).collect();
+            let message = DirectoryMessage::Renewals { targets };
+            actions.push(DirectoryAction::Send { to: *to, message });
+        }
+    }
+
+    /// Asks the other watcher about targets that fell silent, and lapses those it did not hear of.
+    pub(super) fn lapse_due(&mut self, now: Timestamp, actions: &mut Vec<DirectoryAction>) {
+        let mut queries = std::collections::BTreeMap::<InstanceId, Vec<TargetKey>>::new();
+        for (key, watch) in self.watches.take_due(now) {
+            let current = self.table.entry(key).is_some_and(|entry| {
+                entry.announcement().incarnation == watch.incarnation && !entry.record.is_quiet()
+            });
+            if !current || !self.is_watcher(key) {
+                self.watch_if_chosen(key, now);
+                continue;
+            }
+            let others = self.other_watchers(key);
+            if watch.phase == WatchPhase::Asked || others.is_empty() {
+                self.turn_lapse(key, now);
+                continue;
+            }
+            let deadline = now + QUERY_TIMEOUT;
+            self.watches.set(key, TargetWatch { deadline, phase: WatchPhase::Asked, ..watch });
+            for other in others {
+                queries.entry(other).or_default().push(TargetKey(key, watch.incarnation));
+            }
+        }
+        for (watcher, targets) in queries {
+            let Some(to) = self.peer_addresses.get(&watcher) else { continue };
+            let message = DirectoryMessage::LapseQuery { targets };
+            actions.push(DirectoryAction::Send { to: *to, message });
+        }
+    }
+
+    /// Names the targets of a query that this instance heard of.
+    pub(super) fn answer_query(
+        &self,
+        from: SocketAddr,
+        targets: &[TargetKey],
+        now: Timestamp,
+        actions: &mut Vec<DirectoryAction>,
+    ) {
+        let left = |target: &TargetKey| {
+            let watch = self.watches.watch(target.0)?;
+            let heard = watch.incarnation == target.1 && watch.phase == WatchPhase::Heard;
+            let left = watch.deadline.since(now).as_millis() as u64;
+            (heard && left > 0).then_some((*target, left))
+        };
+        let targets: Vec<_> = targets.iter().filter_map(left).collect();
+        if !targets.is_empty() {
+            let message = DirectoryMessage::LapseReply { targets };
+            actions.push(DirectoryAction::Send { to: from, message });
+        }
+    }
+
+    /// Gives targets that the other watcher heard of the time they have there.
+    pub(super) fn extend_watches(&mut self, targets: &[(TargetKey, u64)], now: Timestamp) {
+        let longest = self.lapse_timeout();
+        for (TargetKey(key, incarnation), left_ms) in targets {
+            let Some(watch) = self.watches.watch(*key) else { continue };
+            if watch.incarnation == *incarnation && watch.phase == WatchPhase::Asked {
+                let left = std::time::Duration::from_millis(*left_ms).min(longest);
+                let deadline = watch.deadline.max(now + left);
+                // The phase stays, so two watchers cannot keep extending each other.
+                self.watches.set(*key, TargetWatch { deadline, ..watch });
+            }
+        }
+    }
+
+    /// Gives up a silent session, opens the next when it is due, and ends a cold start.
+    pub(super) fn check_session(
+        &mut self,
+        now: Timestamp,
+        peers: &[PeerRef],
+        rng: &mut impl Rng,
+        actions: &mut Vec<DirectoryAction>,
+    ) {
+        if self.session.as_ref().is_some_and(|session| now >= session.deadline()) {
+            self.session = None;
+            self.next_sync = now;
+        }
+        let cold_for = now.since(self.started_at);
+        if cold_for >= self.settings.timing.cold_start_period {
+            self.is_synced |= peers.is_empty() || self.has_compared;
+        }
+        if self.session.is_some() || now < self.next_sync {
+            return;
+        }
+        let partner = self.next_partner.take().or_else(|| Some(peers.choose(rng)?.peer));
+        let Some(to) = partner else {
+            self.next_sync = now + COLD_SYNC_PERIOD;
+            return;
+        };
+        let (session, start) = SyncSession::start(&self.table, rng.random(), to, now);
+        self.session = Some(session);
+        actions.push(DirectoryAction::Send { to, message: DirectoryMessage::Sync(start) });
+    }
+
+    /// Takes a message of anti-entropy.
+    pub(super) fn handle_sync(
+        &mut self,
+        from: SocketAddr,
+        message: SyncMessage<DirectoryRecord>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<DirectoryAction>,
+    ) {
+        let reply = match message {
+            SyncMessage::Start { session, buckets } => {
+                Some(answer_start(&self.table, session, &buckets, self.is_synced))
+            }
+            SyncMessage::Exchange { session, leaves, records } => {
+                let sent = index_digests(&records);
+                self.merge_records(&records, now);
+                Some(answer_exchange(&self.table, session, &leaves, &sent))
+            }
+            SyncMessage::Leaves { session, settled, buckets } => {
+                let Some(mut held) = self.take_session(from, session) else { return };
+                let step = held.handle_leaves(&self.table, settled, &buckets, now);
+                self.follow_step(held, step, now, rng)
+            }
+            SyncMessage::Records { session, answered, records } => {
+                let Some(mut held) = self.take_session(from, session) else { return };
+                self.merge_records(&records, now);
+                let step = held.handle_records(&self.table, answered, now);
+                self.follow_step(held, step, now, rng)
+            }
+        };
+        if let Some(reply) = reply {
+            let message = DirectoryMessage::Sync(reply);
+            actions.push(DirectoryAction::Send { to: from, message });
+        }
+    }
+
+    /// Takes out the session that a message belongs to.
+    fn take_session(&mut self, from: SocketAddr, session: u32) -> Option<SyncSession> {
+        self.session.take_if(|held| held.matches(from, session))
+    }
+
+    /// Goes on with a session or ends it.
+    fn follow_step(
+        &mut self,
+        session: SyncSession,
+        step: SyncStep<DirectoryRecord>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Option<SyncMessage<DirectoryRecord>> {
+        match step {
+            SyncStep::Continue(message) => {
+                self.session = Some(session);
+                Some(message)
+            }
+            SyncStep::Finished { settled } => {
+                self.has_compared = true;
+                self.is_synced |= settled;
+                let period = self.settings.timing.sync_period.mul_f64(rng.random_range(0.75..1.25));
+                let period = if self.is_synced { period } else { COLD_SYNC_PERIOD };
+                self.next_sync = now + period;
+                None
+            }
+        }
+    }
+}
--- a/crates/figglade/src/controller/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Membership of instances by gossip with suspicion and incarnations.
--- /dev/null
+++ b/crates/figglade/src/controller/membership/detect.rs
@@ -0,0 +1,144 @@
+//! Failure detection: probes, probes through others, and suspicion.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::Rng;
+
+use super::{
+    controller::MembershipController,
+    digest::hash_key,
+    probe::{PendingProbe, RelayedProbe},
+    types::{MemberRecord, MemberState, MembershipAction, MembershipBody},
+};
+use crate::{InstanceId, Timestamp};
+
+/// The members asked to probe a silent one.
+const INDIRECT_PROBES: usize = 3;
+
+impl MembershipController {
+    /// Returns the time a suspect has to refute.
+    pub(super) fn suspicion_timeout(&self) -> Duration {
+        let digits = (self.len_alive() + 1).max(2).ilog10() + 1;
+        self.settings.timing.probe_period * self.settings.timing.suspicion_periods * digits
+    }
+
+    /// Declares the suspects dead that did not refute in time.
+    pub(super) fn check_suspects(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        let due: Vec<u64> =
+            self.suspects.iter().filter(|(_, at)| **at <= now).map(|(key, _)| *key).collect();
+        for key in due {
+            self.suspects.remove(&key);
+            self.declare(key, MemberState::Suspect, MemberState::Dead, now, actions);
+        }
+    }
+
+    /// Changes the belief about a member from `expected` to `state`.
+    pub(super) fn declare(
+        &mut self,
+        key: u64,
+        expected: MemberState,
+        state: MemberState,
+        now: Timestamp,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(entry) = self.table.entry(key) else { return };
+        if entry.record.state != expected {
+            return;
+        }
+        let record = MemberRecord { state, ..entry.record.clone() };
+        self.merge_record(&record, now, actions);
+    }
+
+    /// Probes the next member.
+    pub(super) fn start_probe(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let timing = self.settings.timing;
+        self.next_probe = now + timing.probe_period;
+        let candidate = self.probe.next_candidate(self.table.live_keys(), self.own_key, rng);
+        let Some(key) = candidate else { return };
+        let Some(entry) = self.table.entry(key) else { return };
+        let (id, address) = (entry.record.id.clone(), entry.record.peer);
+        if !entry.record.state.is_live() {
+            return;
+        }
+        let sequence = self.probe.next_sequence();
+        self.probe.set_pending(Some(PendingProbe {
+            key,
+            sequence,
+            indirect_at: Some(now + timing.ack_timeout),
+            fails_at: self.next_probe,
+        }));
+        let body = MembershipBody::Ping { sequence, to: Some(id) };
+        self.send(address, Some(key), body, actions);
+    }
+
+    /// Asks others to probe a silent member, and suspects it when they find it silent too.
+    pub(super) fn check_probe(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.probe.drop_expired_relays(now);
+        let Some(mut probe) = self.probe.pending() else { return };
+        if now >= probe.fails_at {
+            self.probe.set_pending(None);
+            self.declare(probe.key, MemberState::Alive, MemberState::Suspect, now, actions);
+        } else if probe.indirect_at.is_some_and(|at| now >= at) {
+            probe.indirect_at = None;
+            self.probe.set_pending(Some(probe));
+            self.ask_others(probe, rng, actions);
+        }
+    }
+
+    /// Asks random members to probe the member of `probe`.
+    pub(super) fn ask_others(
+        &mut self,
+        probe: PendingProbe,
+        rng: &mut impl Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(entry) = self.table.entry(probe.key) else { return };
+        let (to, address) = (entry.record.id.clone(), entry.record.peer);
+        for (key, relay) in self.pick_peers(INDIRECT_PROBES, Some(probe.key), rng) {
+            let body =
+                MembershipBody::PingRequest { sequence: probe.sequence, to: to.clone(), address };
+            self.send(relay, Some(key), body, actions);
+        }
+    }
+
+    /// Probes a member for another instance.
+    pub(super) fn relay_probe(
+        &mut self,
+        relay: RelayedProbe,
+        to: InstanceId,
+        address: SocketAddr,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(sequence) = self.probe.add_relay(relay) else { return };
+        let key = hash_key(to.as_str());
+        self.send(address, Some(key), MembershipBody::Ping { sequence, to: Some(to) }, actions);
+    }
+
+    /// Takes the answer to a ping.
+    pub(super) fn handle_ack(
+        &mut self,
+        from: SocketAddr,
+        sequence: u32,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if let Some(relay) = self.probe.take_ack(sequence) {
+            let body = MembershipBody::Ack { sequence: relay.sequence };
+            self.send(relay.origin, None, body, actions);
+        }
+        if !self.has_synced && self.session.is_none() {
+            self.open_session(from, now, rng, actions);
+        }
+    }
+}
--- a/crates/figglade/src/wire.rs
+++ b/crates/figglade/src/wire.rs
@@ -272,6 +272,9 @@
     pub connections: u32,
     /// The state of the target.
     pub state: TargetState,
+    /// The number of the announcement within the incarnation; a lower one never replaces a higher.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sequence: Option<u64>,
     /// The replicas it serves.
     pub replicas: Vec<AnnouncedReplica>,
 }
--- /dev/null
+++ b/crates/figglade/tests/membership_support/mod.rs
@@ -0,0 +1,350 @@
+//! Several instances over an in-memory network with loss, delay, duplication and cuts.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use figglade::{
+    Incarnation, InstanceId, Timestamp, WallTime,
+    controller::{
+        directory::{
+            AnnounceEffect, DirectoryAction, DirectoryError, DirectoryMessage, DirectorySettings,
+            DirectoryTiming, TargetDirectory,
+        },
+        membership::{
+            MemberState, MembershipAction, MembershipController, MembershipMessage,
+            MembershipSettings, MembershipTiming,
+        },
+    },
+    peer::{FrameKind, PeerFrame, decode_payload, encode_payload},
+    wire::Announcement,
+};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The wall time at which the simulation starts, in milliseconds.
+const WALL_START_MS: u64 = 1_700_000_000_000;
+
+/// What the network does to each frame.
+#[derive(Clone, Copy)]
+pub struct NetworkFaults {
+    pub loss: f64,
+    pub duplication: f64,
+    pub least_delay_us: u64,
+    pub most_delay_us: u64,
+}
+
+impl NetworkFaults {
+    pub const NONE: Self =
+        Self { loss: 0.0, duplication: 0.0, least_delay_us: 300, most_delay_us: 700 };
+    pub const ROUGH: Self =
+        Self { loss: 0.1, duplication: 0.1, least_delay_us: 300, most_delay_us: 150_000 };
+}
+
+/// What one instance sent.
+#[derive(Clone, Copy, Default)]
+pub struct SentCount {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+/// One instance with its membership and directory.
+pub struct Node {
+    pub membership: MembershipController,
+    pub directory: TargetDirectory,
+    pub heard_config: Vec<u64>,
+    pub superseded: bool,
+    pub member_events: Vec<(Timestamp, InstanceId, MemberState)>,
+    pub sent: SentCount,
+    pub sent_by_kind: BTreeMap<u16, SentCount>,
+}
+
+struct Packet {
+    from: SocketAddr,
+    to: SocketAddr,
+    frame: PeerFrame,
+}
+
+/// A fleet of instances on one in-memory network.
+pub struct Fleet {
+    pub now: Timestamp,
+    pub rng: ChaCha8Rng,
+    pub faults: NetworkFaults,
+    pub blocked: BTreeSet<(SocketAddr, SocketAddr)>,
+    pub nodes: BTreeMap<SocketAddr, Node>,
+    pub membership_timing: MembershipTiming,
+    pub directory_timing: DirectoryTiming,
+    queue: BTreeMap<(Timestamp, u64), Packet>,
+    sequence: u64,
+}
+
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_100 + number))
+}
+
+pub fn instance(number: u16) -> InstanceId {
+    format!("i{number}").parse().unwrap()
+}
+
+impl Fleet {
+    pub fn new(seed: u64, faults: NetworkFaults) -> Self {
+        Self {
+            now: Timestamp::from_millis(1_000),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults,
+            blocked: BTreeSet::new(),
+            nodes: BTreeMap::new(),
+            membership_timing: MembershipTiming::default(),
+            directory_timing: DirectoryTiming::default(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Starts instances 0..count that all know the first two as seeds.
+    pub fn with_nodes(seed: u64, faults: NetworkFaults, count: u16) -> Self {
+        let mut fleet = Self::new(seed, faults);
+        for number in 0..count {
+            fleet.start(number, address(number));
+        }
+        fleet
+    }
+
+    pub fn wall(&self) -> WallTime {
+        WallTime::from_millis(WALL_START_MS + self.now.as_micros() / 1_000)
+    }
+
+    /// Starts instance `number` at `listen`.
+    pub fn start(&mut self, number: u16, listen: SocketAddr) {
+        let incarnation = Incarnation::new(self.wall().as_millis());
+        self.start_with(number, listen, incarnation);
+    }
+
+    pub fn start_with(&mut self, number: u16, listen: SocketAddr, incarnation: Incarnation) {
+        let settings = MembershipSettings {
+            id: instance(number),
+            incarnation,
+            peer: listen,
+            http: SocketAddr::from(([127, 0, 0, 1], listen.port() - 100)),
+            availability_zone: "norrhamn-a".parse().unwrap(),
+            timing: self.membership_timing,
+        };
+        let mut membership = MembershipController::new(settings, self.now);
+        membership.join(&[address(0), address(1)], self.now);
+        let settings = DirectorySettings {
+            id: instance(number),
+            expects_peers: true,
+            timing: self.directory_timing,
+        };
+        let node = Node {
+            membership,
+            directory: TargetDirectory::new(settings, self.now),
+            heard_config: Vec::new(),
+            superseded: false,
+            member_events: Vec::new(),
+            sent: SentCount::default(),
+            sent_by_kind: BTreeMap::new(),
+        };
+        self.nodes.insert(listen, node);
+    }
+
+    /// Stops the instance at `listen` without a word.
+    pub fn crash(&mut self, listen: SocketAddr) {
+        self.nodes.remove(&listen);
+    }
+
+    /// Cuts every link between two groups of instances.
+    pub fn cut(&mut self, left: &[SocketAddr], right: &[SocketAddr]) {
+        for one in left {
+            for other in right {
+                self.blocked.insert((*one, *other));
+                self.blocked.insert((*other, *one));
+            }
+        }
+    }
+
+    pub fn node(&self, number: u16) -> &Node {
+        &self.nodes[&address(number)]
+    }
+
+    pub fn node_mut(&mut self, number: u16) -> &mut Node {
+        self.nodes.get_mut(&address(number)).unwrap()
+    }
+
+    /// Lets a target announce itself to instance `number`.
+    pub fn announce(
+        &mut self,
+        number: u16,
+        announcement: Announcement,
+    ) -> Result<AnnounceEffect, DirectoryError> {
+        let (now, wall) = (self.now, self.wall());
+        self.node_mut(number).directory.apply_announcement(announcement, now, wall)
+    }
+
+    /// Runs for `time`.
+    pub fn run_for(&mut self, time: Duration) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Runs until `done` or for at most `most`; returns the time it took, or `None`.
+    pub fn run_until(&mut self, most: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let started = self.now;
+        let end = self.now + most;
+        let mut steps_without_progress = 0;
+        loop {
+            if done(self) {
+                return Some(self.now.since(started));
+            }
+            let before = self.now;
+            if !self.step(end) {
+                self.now = end;
+                return done(self).then_some(most);
+            }
+            steps_without_progress =
+                if self.now == before { steps_without_progress + 1 } else { 0 };
+            assert!(steps_without_progress < 100_000, "an instance ticks without end");
+        }
+    }
+
+    /// Handles the next frame or tick before `end`; returns whether there was one.
+    fn step(&mut self, end: Timestamp) -> bool {
+        let tick = self
+            .nodes
+            .iter()
+            .map(|(listen, node)| {
+                let membership = node.membership.next_deadline();
+                (membership.min(node.directory.next_deadline()), *listen)
+            })
+            .min();
+        let arrival = self.queue.first_key_value().map(|((at, _), _)| *at);
+        match (tick, arrival) {
+            (_, Some(at)) if at <= end && tick.is_none_or(|(tick, _)| at <= tick) => {
+                let (_, packet) = self.queue.pop_first().unwrap();
+                self.now = self.now.max(at);
+                self.deliver(packet);
+                true
+            }
+            (Some((at, listen)), _) if at <= end => {
+                self.now = self.now.max(at);
+                self.tick(listen);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn tick(&mut self, listen: SocketAddr) {
+        let Some(node) = self.nodes.get_mut(&listen) else { return };
+        let member_actions = node.membership.handle_tick(self.now, &mut self.rng);
+        let peers = node.membership.peers();
+        let directory_actions = node.directory.handle_tick(self.now, &peers, &mut self.rng);
+        self.perform(listen, member_actions, directory_actions);
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        let Some(node) = self.nodes.get_mut(&packet.to) else { return };
+        let (from, now, rng) = (packet.from, self.now, &mut self.rng);
+        match packet.frame.kind {
+            FrameKind::Membership => {
+                let message: MembershipMessage = decode_payload(&packet.frame.payload).unwrap();
+                let actions = node.membership.handle_message(from, message, now, rng);
+                self.perform(packet.to, actions, Vec::new());
+            }
+            _ => {
+                let message: DirectoryMessage = decode_payload(&packet.frame.payload).unwrap();
+                let peers = node.membership.peers();
+                let actions = node.directory.handle_message(from, message, now, &peers, rng);
+                self.perform(packet.to, Vec::new(), actions);
+            }
+        }
+    }
+
+    fn perform(
+        &mut self,
+        listen: SocketAddr,
+        member_actions: Vec<MembershipAction>,
+        directory_actions: Vec<DirectoryAction>,
+    ) {
+        let now = self.now;
+        let mut frames = Vec::new();
+        let node = self.nodes.get_mut(&listen).unwrap();
+        for action in member_actions {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    let payload = encode_payload(&message).unwrap();
+                    frames.push((to, PeerFrame { kind: FrameKind::Membership, payload }));
+                }
+                MembershipAction::Changed(event) => {
+                    node.member_events.push((now, event.id, event.state));
+                }
+                MembershipAction::ConfigHeard { version, .. } => {
+                    node.heard_config.push(version.get());
+                }
+                MembershipAction::Superseded { .. } => node.superseded = true,
+            }
+        }
+        for action in directory_actions {
+            if let DirectoryAction::Send { to, message } = action {
+                let payload = encode_payload(&message).unwrap();
+                frames.push((to, PeerFrame { kind: FrameKind::Directory, payload }));
+            }
+        }
+        for (to, frame) in &frames {
+            assert_ne!(*to, listen, "an instance wrote to itself");
+            let bytes = frame.payload.len() as u64;
+            for count in [&mut node.sent, node.sent_by_kind.entry(frame.kind.number()).or_default()]
+            {
+                count.messages += 1;
+                count.bytes += bytes;
+            }
+        }
+        for (to, frame) in frames {
+            self.post(listen, to, frame);
+        }
+    }
+
+    fn post(&mut self, from: SocketAddr, to: SocketAddr, frame: PeerFrame) {
+        assert!(frame.payload.len() <= figglade::peer::MAX_FRAME_BYTES);
+        if self.blocked.contains(&(from, to)) || self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.faults.duplication) { 2 } else { 1 };
+        for _ in 0..copies {
+            let range = self.faults.least_delay_us..=self.faults.most_delay_us;
+            let delay = Duration::from_micros(self.rng.random_range(range));
+            self.sequence += 1;
+            let frame = PeerFrame { kind: frame.kind, payload: Bytes::clone(&frame.payload) };
+            self.queue.insert((self.now + delay, self.sequence), Packet { from, to, frame });
+        }
+    }
+
+    /// Returns whether every instance believes exactly the running instances to be alive.
+    pub fn has_converged(&self) -> bool {
+        let expected: BTreeSet<_> =
+            self.nodes.values().map(|node| node.membership.incarnation()).collect();
+        self.nodes.values().all(|node| {
+            let alive: BTreeSet<_> =
+                node.membership.alive().map(|member| member.incarnation).collect();
+            let states = node.membership.alive().all(|member| member.state == MemberState::Alive);
+            alive == expected && states && node.membership.len_alive() == self.nodes.len()
+        })
+    }
+
+    /// Resets what was sent.
+    pub fn reset_counts(&mut self) {
+        for node in self.nodes.values_mut() {
+            node.sent = SentCount::default();
+            node.sent_by_kind.clear();
+        }
+    }
+
+    /// Draws a random number from the fleet's own source.
+    pub fn draw(&mut self) -> u64 {
+        self.rng.next_u64()
+    }
+}
