Add the fault-injecting TCP proxy

Cause: tests with real processes need faults between them that a target cannot show by itself. Change: FaultProxy delays, resets, stalls, cuts one way, truncates, drips and refuses, for each direction and switchable while connections are open. A stream that lost bytes in a cut is reset when the cut ends, since TCP would never deliver a stream with a hole.

--- a/crates/figglade-testkit/src/lib.rs
+++ b/crates/figglade-testkit/src/lib.rs
@@ -4,10 +4,12 @@
 //! Nothing here decides anything for the tier; the crate only speaks its published interfaces.
 
 pub mod client;
+pub mod proxy;
 pub mod stand_in;
 
 pub use crate::{
     client::{TestClient, TestClientError, TestReply},
+    proxy::{FaultProxy, ProxyDirection, ProxyFault},
     stand_in::{
         AnswerFault, ControlChange, FleetSettings, IndexLayout, RanAction, RegisterData,
         ResetPoint, StandIn, StandInControl, StandInError, StandInFaults, StandInSettings,
