Add the harness for real processes

Cause: tests and measurements need instances and stand-in targets as processes that can be killed, frozen, stopped and restarted. Change: ProcessHarness writes settings files with free ports, starts the daemon, waits for /v1/ready, signals, restarts, erases data folders and collects logs; StandInProcess runs many stand-in targets in one process. Everything started is killed on drop. Conclusion: the harness is tried with a script in place of the daemon, whose program is not there yet.

--- a/crates/figglade-testkit/src/lib.rs
+++ b/crates/figglade-testkit/src/lib.rs
@@ -4,11 +4,16 @@
 //! Nothing here decides anything for the tier; the crate only speaks its published interfaces.
 
 pub mod client;
+pub mod harness;
 pub mod proxy;
 pub mod stand_in;
 
 pub use crate::{
     client::{TestClient, TestClientError, TestReply},
+    harness::{
+        HarnessError, HarnessOptions, ManagedProcess, ProcessHarness, StandInAddress,
+        StandInProcess,
+    },
     proxy::{FaultProxy, ProxyDirection, ProxyFault},
     stand_in::{
         AnswerFault, ControlChange, FleetSettings, IndexLayout, RanAction, RegisterData,
