--- a/crates/figglade/src/controller/event.rs
+++ b/crates/figglade/src/controller/event.rs
@@ -18,4 +18,10 @@
     ClaimGranted,
     /// An action ended.
     ClaimEnded,
+    /// An instance joined, left or failed.
+    MemberChange,
+    /// A target changed its state.
+    TargetChange,
+    /// A configuration is in force here.
+    ConfigInForce,
 }
--- a/crates/figgladed/src/api/mod.rs
+++ b/crates/figgladed/src/api/mod.rs
@@ -45,6 +45,12 @@
         /// What is allowed.
         message: String,
     },
+    /// The directory holds as many targets as it can.
+    #[display("{message}")]
+    Full {
+        /// The limit.
+        message: String,
+    },
 }
 
 /// The answer to an operator's change.
@@ -167,6 +173,7 @@
         match error {
             AnnounceError::StaleIncarnation { current } => Self::StaleIncarnation { current },
             AnnounceError::BadField { field, message } => Self::BadField { field, message },
+            AnnounceError::Full { message } => Self::Unavailable { reason: message },
         }
     }
 }
--- /dev/null
+++ b/crates/figgladed/src/control/gossip.rs
@@ -0,0 +1,309 @@
+//! Drives membership and the target directory with real time, links and routes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use figglade::{
+    IndexName, Timestamp,
+    border::PeerLink,
+    controller::{
+        directory::{
+            AnnounceEffect, DirectoryAction, DirectoryError, DirectoryMessage, DirectorySettings,
+            TargetDirectory, TargetEntry,
+        },
+        event::EventKind,
+        membership::{
+            LeaderHint, MemberEvent, MemberRecord, MembershipAction, MembershipController,
+            MembershipMessage, MembershipSettings, PeerRef,
+        },
+    },
+    filter::routing::{LiveTarget, build_route},
+    peer::{FrameKind, PeerFrame, decode_payload, encode_payload},
+    wire::Announcement,
+};
+use parking_lot::Mutex;
+use serde::Serialize;
+use slog::{Logger, info, warn};
+use tokio::sync::Notify;
+
+use super::state::ControlState;
+use crate::{clock::ProcessClock, tier::IndexBoard};
+
+/// The longest sleep between ticks.
+const MAX_TICK: Duration = Duration::from_millis(500);
+/// The shortest sleep between ticks.
+const MIN_TICK: Duration = Duration::from_millis(5);
+
+/// What the gossip driver reaches.
+pub struct GossipParts {
+    /// The clocks.
+    pub clock: ProcessClock,
+    /// The way to others.
+    pub link: Arc<dyn PeerLink>,
+    /// What the control group said.
+    pub state: Arc<ControlState>,
+    /// Where routes are published.
+    pub board: Arc<IndexBoard>,
+    /// Takes events for the time line.
+    pub note: Box<dyn Fn(EventKind, String) + Send + Sync>,
+    /// Called for each address whose target left.
+    pub forget_target: Box<dyn Fn(SocketAddr) + Send + Sync>,
+    /// The log of the process.
+    pub log: Logger,
+}
+
+/// Membership and the target directory of this instance.
+pub struct GossipDriver {
+    parts: GossipParts,
+    controllers: Mutex<GossipControllers>,
+    /// Wakes the ticking task before its time.
+    wake: Notify,
+    /// Wakes the renewal: a newer configuration was heard of.
+    pub config_heard: Notify,
+    /// Wakes the process: another one with this identifier and a higher incarnation runs.
+    pub superseded: Notify,
+}
+
+struct GossipControllers {
+    membership: MembershipController,
+    directory: TargetDirectory,
+}
+
+impl GossipDriver {
+    /// Builds both controllers; `seeds` are asked first.
+    pub fn new(parts: GossipParts, settings: MembershipSettings, seeds: &[SocketAddr]) -> Self {
+        let now = parts.clock.now();
+        let own = settings.peer;
+        let directory = DirectorySettings {
+            id: settings.id.clone(),
+            expects_peers: seeds.iter().any(|seed| *seed != own),
+            timing: Default::default(),
+        };
+        let mut membership = MembershipController::new(settings, now);
+        membership.join(seeds, now);
+        let directory = TargetDirectory::new(directory, now);
+        Self {
+            parts,
+            controllers: Mutex::new(GossipControllers { membership, directory }),
+            wake: Notify::new(),
+            config_heard: Notify::new(),
+            superseded: Notify::new(),
+        }
+    }
+
+    /// Ticks both controllers until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let wait = self.tick().clamp(MIN_TICK, MAX_TICK);
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Does what is due and returns the time until the next deadline.
+    fn tick(&self) -> Duration {
+        let now = self.parts.clock.now();
+        let mut rng = rand::rng();
+        let mut controllers = self.controllers.lock();
+        let actions = controllers.membership.handle_tick(now, &mut rng);
+        self.run_membership(actions);
+        let peers = controllers.membership.peers();
+        let actions = controllers.directory.handle_tick(now, &peers, &mut rng);
+        self.run_directory(&controllers.directory, actions);
+        let due = controllers.membership.next_deadline().min(controllers.directory.next_deadline());
+        due.since(now)
+    }
+
+    /// Takes a frame of the membership protocol.
+    pub fn take_membership(&self, from: SocketAddr, payload: &[u8]) {
+        let message: MembershipMessage = match decode_payload(payload) {
+            Ok(message) => message,
+            Err(error) => return self.warn_malformed(from, &error.to_string()),
+        };
+        let now = self.parts.clock.now();
+        let mut controllers = self.controllers.lock();
+        let actions = controllers.membership.handle_message(from, message, now, &mut rand::rng());
+        self.run_membership(actions);
+        drop(controllers);
+        self.wake.notify_one();
+    }
+
+    /// Takes a frame of the target directory.
+    pub fn take_directory(&self, from: SocketAddr, payload: &[u8]) {
+        let message: DirectoryMessage = match decode_payload(payload) {
+            Ok(message) => message,
+            Err(error) => return self.warn_malformed(from, &error.to_string()),
+        };
+        let now = self.parts.clock.now();
+        let mut controllers = self.controllers.lock();
+        let peers = controllers.membership.peers();
+        let directory = &mut controllers.directory;
+        let actions = directory.handle_message(from, message, now, &peers, &mut rand::rng());
+        self.run_directory(&controllers.directory, actions);
+        drop(controllers);
+        self.wake.notify_one();
+    }
+
+    /// Takes the announcement of a target and returns when it should announce again.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`TargetDirectory::apply_announcement`] does.
+    pub fn announce(
+        &self,
+        announcement: Announcement,
+    ) -> Result<(AnnounceEffect, Duration), DirectoryError> {
+        let now = self.parts.clock.now();
+        let wall = self.parts.clock.wall();
+        let mut controllers = self.controllers.lock();
+        let effect = controllers.directory.apply_announcement(announcement, now, wall)?;
+        let peers = controllers.membership.peers();
+        let actions = controllers.directory.handle_tick(now, &peers, &mut rand::rng());
+        self.run_directory(&controllers.directory, actions);
+        let interval = controllers.directory.announce_interval();
+        drop(controllers);
+        self.wake.notify_one();
+        Ok((effect, interval))
+    }
+
+    /// Publishes the routes of every index again.
+    pub fn publish_all(&self) {
+        let controllers = self.controllers.lock();
+        let mut indexes: Vec<_> = controllers.directory.indexes().cloned().collect();
+        indexes.extend(self.parts.state.manifests().indexes().cloned());
+        indexes.sort();
+        indexes.dedup();
+        self.publish(&controllers.directory, &indexes);
+    }
+
+    /// Tells the fleet what is in force here.
+    pub fn set_facts(&self, leader: Option<LeaderHint>, ready: bool) {
+        let now = self.parts.clock.now();
+        let version = self.parts.state.config().version;
+        let settings = self.parts.state.settings();
+        let mut controllers = self.controllers.lock();
+        controllers.membership.set_facts(version, leader, ready, now);
+        let period = Duration::from_millis(settings.announce_period_ms);
+        controllers.directory.set_announce_timing(period, settings.announce_lapse_periods);
+        drop(controllers);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether the directory of the fleet is loaded.
+    pub fn is_synced(&self) -> bool {
+        self.controllers.lock().directory.is_synced()
+    }
+
+    /// Returns the live instances, this one among them.
+    pub fn alive(&self) -> Vec<MemberRecord> {
+        self.controllers.lock().membership.alive().cloned().collect()
+    }
+
+    /// Returns every instance, live or not.
+    pub fn members(&self) -> Vec<MemberRecord> {
+        self.controllers.lock().membership.members().cloned().collect()
+    }
+
+    /// Returns every target.
+    pub fn targets(&self) -> Vec<TargetEntry> {
+        self.controllers.lock().directory.records().cloned().collect()
+    }
+
+    /// Announces that the instance leaves.
+    pub fn begin_leave(&self) {
+        let now = self.parts.clock.now();
+        self.controllers.lock().membership.begin_leave(now);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether the fleet was told that the instance leaves.
+    pub fn has_left(&self) -> bool {
+        let controllers = self.controllers.lock();
+        controllers.membership.has_left() || controllers.membership.len_alive() == 0
+    }
+
+    fn run_membership(&self, actions: Vec<MembershipAction>) {
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, message } => {
+                    self.send(to, FrameKind::Membership, &message);
+                }
+                MembershipAction::Changed(event) => self.note_member(&event),
+                MembershipAction::ConfigHeard { .. } => self.config_heard.notify_one(),
+                MembershipAction::Superseded { incarnation } => {
+                    warn!(self.parts.log, "membership: another process runs under this identifier";
+                        "incarnation" => %incarnation);
+                    self.superseded.notify_one();
+                }
+            }
+        }
+    }
+
+    fn note_member(&self, event: &MemberEvent) {
+        if event.previous == Some(event.state) {
+            return;
+        }
+        let detail = format!("instance {} is {}", event.id, event.state);
+        info!(self.parts.log, "membership: {}", detail);
+        (self.parts.note)(EventKind::MemberChange, detail);
+    }
+
+    fn run_directory(&self, directory: &TargetDirectory, actions: Vec<DirectoryAction>) {
+        for action in actions {
+            match action {
+                DirectoryAction::Send { to, message } => {
+                    self.send(to, FrameKind::Directory, &message);
+                }
+                DirectoryAction::Changed { indexes, targets } => {
+                    for entry in targets.iter().filter_map(|id| directory.record(id)) {
+                        self.note_target(entry);
+                    }
+                    self.publish(directory, &indexes);
+                }
+            }
+        }
+    }
+
+    fn note_target(&self, entry: &TargetEntry) {
+        let announcement = entry.announcement();
+        let state = entry.effective_state();
+        let detail = format!("target {} is {state}", announcement.target_id);
+        (self.parts.note)(EventKind::TargetChange, detail);
+        if !entry.is_live() && announcement.state == figglade::wire::TargetState::Gone {
+            (self.parts.forget_target)(announcement.address);
+        }
+    }
+
+    fn publish(&self, directory: &TargetDirectory, indexes: &[IndexName]) {
+        for index in indexes {
+            let live = |entry: &TargetEntry| LiveTarget {
+                announcement: Arc::clone(entry.announcement()),
+                ready_since: entry.ready_since.unwrap_or(Timestamp::ZERO),
+            };
+            let targets: Vec<_> = directory.live_records_for(index).map(live).collect();
+            let manifests = self.parts.state.known_manifests(index);
+            let route = build_route(index, &targets, &manifests, &self.parts.board.registry);
+            self.parts.board.publish_route(index, route);
+        }
+    }
+
+    fn send<T: Serialize>(&self, to: SocketAddr, kind: FrameKind, message: &T) {
+        match encode_payload(message) {
+            Ok(payload) => self.parts.link.send(to, PeerFrame { kind, payload }),
+            Err(error) => {
+                warn!(self.parts.log, "membership: a message was not sent"; "error" => %error);
+            }
+        }
+    }
+
+    fn warn_malformed(&self, from: SocketAddr, error: &str) {
+        warn!(self.parts.log, "membership: a message could not be read";
+            "from" => %from, "error" => error);
+    }
+}
+
+/// Returns the peers named in `records`.
+pub fn peer_refs(records: &[MemberRecord]) -> Vec<PeerRef> {
+    records.iter().map(|record| PeerRef { id: record.id.clone(), peer: record.peer }).collect()
+}
--- /dev/null
+++ b/crates/figgladed/src/control/state.rs
@@ -0,0 +1,142 @@
+//! What this instance holds of the control group's state.
+
+use std::{sync::Arc, time::Duration};
+
+use figglade::{
+    ConfigVersion, IndexName, InstanceId, Timestamp, ZoneName,
+    controller::{
+        fleet::{FleetConfig, FleetDefaults, ResolveScope},
+        ledger::ManifestSet,
+        quorum::LogIndex,
+    },
+    filter::routing::{KnownManifest, SnapshotKey},
+};
+use parking_lot::RwLock;
+
+use super::message::{RenewReply, RenewRequest};
+use crate::tier::SettingsSource;
+
+/// The configuration in force here, the manifests, and the last proof of being current.
+pub struct ControlState {
+    instance: InstanceId,
+    zone: ZoneName,
+    held: RwLock<HeldState>,
+}
+
+struct HeldState {
+    config: Arc<FleetConfig>,
+    settings: Arc<FleetDefaults>,
+    manifests: Arc<ManifestSet>,
+    manifest_revision: LogIndex,
+    proved_at: Option<Timestamp>,
+}
+
+/// What a renewal changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateChange {
+    /// A newer configuration is in force.
+    pub config: Option<ConfigVersion>,
+    /// The manifests changed.
+    pub manifests: bool,
+}
+
+impl ControlState {
+    /// Starts with the built-in configuration and without a proof.
+    pub fn new(instance: InstanceId, zone: ZoneName) -> Self {
+        let held = HeldState {
+            config: Arc::default(),
+            settings: Arc::default(),
+            manifests: Arc::default(),
+            manifest_revision: LogIndex::default(),
+            proved_at: None,
+        };
+        Self { instance, zone, held: RwLock::new(held) }
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<FleetConfig> {
+        Arc::clone(&self.held.read().config)
+    }
+
+    /// Returns the settings in force for this instance.
+    pub fn settings(&self) -> Arc<FleetDefaults> {
+        Arc::clone(&self.held.read().settings)
+    }
+
+    /// Returns the manifests.
+    pub fn manifests(&self) -> Arc<ManifestSet> {
+        Arc::clone(&self.held.read().manifests)
+    }
+
+    /// Returns the manifests of `index` as the routing needs them.
+    pub fn known_manifests(&self, index: &IndexName) -> Vec<KnownManifest> {
+        let manifests = self.manifests();
+        let known = manifests.snapshots(index).map(|(epoch, version, manifest)| KnownManifest {
+            key: SnapshotKey { version, epoch },
+            documents: manifest.documents.clone(),
+        });
+        known.collect()
+    }
+
+    /// Returns what to ask a control member for.
+    pub fn renew_request(&self) -> RenewRequest {
+        let held = self.held.read();
+        RenewRequest {
+            config_version: held.config.version,
+            manifest_revision: held.manifest_revision,
+        }
+    }
+
+    /// Takes the answer to a renewal that was sent at `sent_at`; versions only rise.
+    pub fn take_renewal(&self, reply: RenewReply, sent_at: Timestamp) -> StateChange {
+        let mut held = self.held.write();
+        let mut change = StateChange::default();
+        if let Some(config) = reply.config
+            && config.version > held.config.version
+        {
+            change.config = Some(config.version);
+            held.settings = Arc::new(self.resolve(&config, None));
+            held.config = Arc::new(config);
+        }
+        if let Some(manifests) = reply.manifests
+            && reply.manifest_revision > held.manifest_revision
+        {
+            change.manifests = true;
+            held.manifests = Arc::new(manifests);
+            held.manifest_revision = reply.manifest_revision;
+        }
+        held.proved_at = held.proved_at.max(Some(sent_at));
+        change
+    }
+
+    /// Returns the age of the last proof of being current, or `None` before the first.
+    pub fn proof_age(&self, now: Timestamp) -> Option<Duration> {
+        self.held.read().proved_at.map(|proved_at| now.since(proved_at))
+    }
+
+    /// Returns whether the last proof is older than `settings` allow.
+    pub fn is_stale(&self, settings: &FleetDefaults, now: Timestamp) -> bool {
+        let bound = Duration::from_millis(settings.staleness_bound_ms);
+        self.proof_age(now).is_none_or(|age| age > bound)
+    }
+
+    fn resolve(&self, config: &FleetConfig, index: Option<&IndexName>) -> FleetDefaults {
+        config.resolve(&ResolveScope {
+            index,
+            target: None,
+            zone: Some(&self.zone),
+            instance: Some(&self.instance),
+        })
+    }
+}
+
+impl SettingsSource for ControlState {
+    fn version(&self) -> ConfigVersion {
+        self.held.read().config.version
+    }
+
+    fn settings_of(&self, index: &IndexName) -> FleetDefaults {
+        let config = self.config();
+        self.resolve(&config, Some(index))
+    }
+}
--- a/crates/figgladed/src/lib.rs
+++ b/crates/figgladed/src/lib.rs
@@ -3,13 +3,13 @@
 
 pub mod api;
 pub mod clock;
+pub mod control;
 pub mod log_store;
 pub mod logs;
 pub mod metrics;
 pub mod peer_link;
 pub mod runtime;
 pub mod settings;
-pub mod solo;
 pub mod target_client;
 pub mod tier;
 pub mod timeline;
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -1,21 +1,47 @@
 //! One running instance: it assembles the parts and stops them in order.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use derive_more::{Display, Error, From};
-use figglade::Incarnation;
-use slog::{Logger, info};
+use figglade::{
+    Incarnation, InstanceId,
+    border::{LogStore, LogStoreError},
+    controller::{
+        membership::MembershipSettings,
+        quorum::{MemberRole, MemberSet, MemberSpec, QuorumSettings},
+    },
+};
+use slog::{Logger, info, warn};
+use tokio::{sync::Notify, task::JoinHandle};
 
 use crate::{
     api::{ApiContext, ApiError, ApiServer, start_server},
     clock::ProcessClock,
+    control::{
+        ControlError, ControlGroup, ControlMember, ControlPlane, ControlState, ELECTION_TIMEOUT,
+        GossipDriver, GossipParts, HEARTBEAT_PERIOD, LEASE_MARGIN, MemberHandle, MemberParts,
+        PlaneHandler, PlaneParts,
+    },
+    log_store::{FileLogStore, StoreLimits},
     metrics::TierMetrics,
+    peer_link::{PeerHandle, PeerLinkError, PeerLimits, PeerOptions, PeerTransport},
     settings::{InstanceSettings, LoadedKeys, SettingsError},
-    solo::{SoloControl, SoloSettings},
     target_client::HttpTargetClient,
     tier::{IndexBoard, QueryTier, TierParts},
+    timeline::TimelineStore,
 };
 
+/// The folder of the quorum log within the data folder.
+const LOG_FOLDER: &str = "quorum";
+/// The most entries of one append message.
+const MAX_APPEND_ENTRIES: usize = 512;
+/// The most payload bytes of one append message.
+const MAX_APPEND_BYTES: usize = 512 << 10;
+/// How long a stopping instance waits for the news of it to spread.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often that is looked at.
+const LEAVE_POLL: Duration = Duration::from_millis(20);
+
 /// The reason an instance could not start.
 #[derive(Debug, Display, Error, From)]
 pub enum RuntimeError {
@@ -23,47 +49,69 @@
     Settings(SettingsError),
     /// The HTTP interface could not start.
     Api(ApiError),
+    /// The peer links could not start.
+    Link(PeerLinkError),
+    /// The log on disk cannot be used.
+    Store(LogStoreError),
+    /// The control plane could not start.
+    Control(ControlError),
 }
 
 /// One running instance.
 pub struct InstanceRuntime {
     server: ApiServer,
-    /// How long the balancer may take to notice that the instance is not ready.
-    drain_wait: Duration,
+    plane: Arc<ControlPlane>,
+    gossip: Arc<GossipDriver>,
+    member: Option<ControlMember>,
+    transport: PeerTransport,
+    state: Arc<ControlState>,
+    tasks: Vec<JoinHandle<()>>,
     log: Logger,
 }
 
+/// What the start of an instance has built so far.
+struct InstanceBuilder {
+    settings: InstanceSettings,
+    clock: ProcessClock,
+    incarnation: Incarnation,
+    log: Logger,
+    state: Arc<ControlState>,
+    board: Arc<IndexBoard>,
+    client: Arc<HttpTargetClient>,
+    timeline: Arc<TimelineStore>,
+    renew_now: Arc<Notify>,
+    keys: Arc<LoadedKeys>,
+}
+
 impl InstanceRuntime {
     /// Starts an instance.
     ///
     /// # Errors
     ///
-    /// Fails when a key file is not usable or an address cannot be bound.
+    /// Fails when a key file or the log on disk is not usable or an address cannot be bound.
     pub async fn start(settings: InstanceSettings, log: Logger) -> Result<Self, RuntimeError> {
-        let keys = Arc::new(LoadedKeys::load(&settings)?);
-        let clock = ProcessClock::start();
-        let zone = settings.instance.availability_zone.clone();
-        let source = Arc::new(SoloSettings);
-        let board = Arc::new(IndexBoard::new(zone, Arc::clone(&source) as _));
-        let control = Arc::new(SoloControl::new(clock, Arc::clone(&board)));
-        let metrics = Arc::new(TierMetrics::default());
-        let parts = TierParts {
-            clock,
-            instance: settings.instance.id.clone(),
-            incarnation: Incarnation::new(clock.wall().as_millis()),
-            board,
-            client: Arc::new(HttpTargetClient::new(settings.limits.max_answer_bytes)),
-            claims: Arc::clone(&control) as _,
-            control: Arc::clone(&control) as _,
-            metrics: Arc::clone(&metrics),
-            log: log.clone(),
-        };
-        let tier = Arc::new(QueryTier::new(parts, source));
-        let context = Arc::new(ApiContext { tier, control, keys, clock, metrics });
-        let max_body = settings.limits.max_body_bytes;
-        let server = start_server(settings.listen.http, max_body, context, &log)?;
-        info!(log, "instance: started"; "http" => %server.local_addr());
-        Ok(Self { server, drain_wait: Duration::ZERO, log })
+        let builder = InstanceBuilder::new(settings, log)?;
+        let handler = Arc::new(PlaneHandler::default());
+        let transport = builder.start_transport(Arc::clone(&handler)).await?;
+        let peer = transport.local_address();
+        let link = transport.handle();
+        let member = builder.start_member(peer, &link)?;
+        let handle = member.as_ref().map(ControlMember::handle);
+        let group = builder.make_group(peer, &link, handle.clone());
+        // The port of the HTTP interface is known before it listens only where it is not zero.
+        let http = builder.settings.listen.http;
+        let gossip = builder.make_gossip(peer, http, link);
+        handler.connect(Arc::clone(&gossip), handle.clone());
+        let plane = builder.make_plane(group, Arc::clone(&gossip), handle);
+        let server = builder.start_api(&plane)?;
+        info!(builder.log, "instance: started"; "http" => %server.local_addr(), "peer" => %peer);
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&gossip).run()),
+            tokio::spawn(Arc::clone(&plane).run_renewals()),
+            tokio::spawn(Arc::clone(&plane).run_manifests()),
+        ];
+        let InstanceBuilder { state, log, .. } = builder;
+        Ok(Self { server, plane, gossip, member, transport, state, tasks, log })
     }
 
     /// Returns where the HTTP interface listens.
@@ -71,13 +119,212 @@
         self.server.local_addr()
     }
 
-    /// Stops the instance: finishes what is in flight, then closes.
+    /// Waits until another process runs under the identifier of this instance.
+    pub async fn superseded(&self) {
+        self.gossip.superseded.notified().await;
+    }
+
+    /// Stops the instance: turns not ready, waits for the balancer, finishes what is in flight,
+    /// hands over the leadership, tells the fleet and closes.
     pub async fn close(self) {
         info!(self.log, "instance: stopping");
-        tokio::time::sleep(self.drain_wait).await;
+        self.plane.begin_stop();
+        tokio::time::sleep(Duration::from_millis(self.state.settings().drain_wait_ms)).await;
         if let Err(error) = self.server.close().await {
-            slog::error!(self.log, "instance: the HTTP interface did not close"; "error" => error);
+            warn!(self.log, "instance: the HTTP interface did not close"; "error" => error);
+        }
+        if let Some(member) = &self.member {
+            member.handle().send(crate::control::MemberInput::HandOver);
+        }
+        self.gossip.begin_leave();
+        let give_up = tokio::time::Instant::now() + LEAVE_TIMEOUT;
+        while !self.gossip.has_left() && tokio::time::Instant::now() < give_up {
+            tokio::time::sleep(LEAVE_POLL).await;
+        }
+        for task in &self.tasks {
+            task.abort();
+        }
+        if let Some(member) = self.member {
+            // The thread syncs what it has begun; joining it blocks only for that long.
+            let closed = tokio::task::spawn_blocking(move || member.close()).await;
+            if closed.is_err() {
+                warn!(self.log, "instance: the control member did not close");
+            }
         }
+        self.transport.close().await;
         info!(self.log, "instance: stopped");
     }
 }
+
+impl InstanceBuilder {
+    fn new(settings: InstanceSettings, log: Logger) -> Result<Self, RuntimeError> {
+        let keys = Arc::new(LoadedKeys::load(&settings)?);
+        let clock = ProcessClock::start();
+        let zone = settings.instance.availability_zone.clone();
+        let state = Arc::new(ControlState::new(settings.instance.id.clone(), zone.clone()));
+        Ok(Self {
+            clock,
+            incarnation: Incarnation::new(clock.wall().as_millis()),
+            board: Arc::new(IndexBoard::new(zone, Arc::clone(&state) as _)),
+            client: Arc::new(HttpTargetClient::new(settings.limits.max_answer_bytes)),
+            timeline: Arc::new(TimelineStore::default()),
+            renew_now: Arc::new(Notify::new()),
+            keys,
+            state,
+            settings,
+            log,
+        })
+    }
+
+    async fn start_transport(
+        &self,
+        handler: Arc<PlaneHandler>,
+    ) -> Result<PeerTransport, RuntimeError> {
+        let options = PeerOptions {
+            keys: self.keys.peer.clone(),
+            ..PeerOptions::new(
+                self.settings.listen.peer,
+                self.settings.instance.id.clone(),
+                self.incarnation,
+            )
+        };
+        Ok(PeerTransport::start(options, handler, self.log.clone()).await?)
+    }
+
+    /// Starts the control member where the instance has a disk.
+    fn start_member(
+        &self,
+        peer: SocketAddr,
+        link: &PeerHandle,
+    ) -> Result<Option<ControlMember>, RuntimeError> {
+        let Some(folder) = &self.settings.instance.data_dir else { return Ok(None) };
+        let store = FileLogStore::open(&folder.join(LOG_FOLDER), StoreLimits::default())?;
+        let renew_now = Arc::clone(&self.renew_now);
+        let parts = MemberParts {
+            settings: QuorumSettings {
+                id: self.settings.instance.id.clone(),
+                peer,
+                storage: store.storage_id(),
+                election_timeout: ELECTION_TIMEOUT,
+                heartbeat_period: HEARTBEAT_PERIOD,
+                lease_margin: LEASE_MARGIN,
+                max_append_entries: MAX_APPEND_ENTRIES,
+                max_append_bytes: MAX_APPEND_BYTES,
+            },
+            initial: self.initial_members(peer),
+            store: Box::new(store),
+            link: Arc::new(link.clone()),
+            clock: self.clock,
+            on_change: Box::new(move || renew_now.notify_one()),
+            log: self.log.clone(),
+        };
+        Ok(Some(ControlMember::start(parts)?))
+    }
+
+    fn initial_members(&self, peer: SocketAddr) -> MemberSet {
+        let addresses = self.control_addresses(peer);
+        let specs = addresses.into_iter().map(|(id, peer)| {
+            (id, MemberSpec { peer, storage: None, role: MemberRole::Voter })
+        });
+        MemberSet { members: specs.collect() }
+    }
+
+    /// Returns the first control group; this instance stands in it where it really listens.
+    fn control_addresses(&self, peer: SocketAddr) -> BTreeMap<InstanceId, SocketAddr> {
+        let own = &self.settings.instance.id;
+        let members = self.settings.control.members.iter().map(|member| {
+            let address = if member.id == *own { peer } else { member.peer };
+            (member.id.clone(), address)
+        });
+        members.collect()
+    }
+
+    fn make_group(
+        &self,
+        peer: SocketAddr,
+        link: &PeerHandle,
+        member: Option<MemberHandle>,
+    ) -> Arc<ControlGroup> {
+        let own = member.map(|member| (self.settings.instance.id.clone(), member));
+        let members = self.control_addresses(peer);
+        Arc::new(ControlGroup::new(self.clock, link.clone(), own, members))
+    }
+
+    fn make_gossip(
+        &self,
+        peer: SocketAddr,
+        http: SocketAddr,
+        link: PeerHandle,
+    ) -> Arc<GossipDriver> {
+        let timeline = Arc::clone(&self.timeline);
+        let client = Arc::clone(&self.client);
+        let parts = GossipParts {
+            clock: self.clock,
+            link: Arc::new(link),
+            state: Arc::clone(&self.state),
+            board: Arc::clone(&self.board),
+            note: Box::new(move |kind, detail| timeline.record(kind, None, detail)),
+            forget_target: Box::new(move |address| client.forget_target(address)),
+            log: self.log.clone(),
+        };
+        let settings = MembershipSettings {
+            id: self.settings.instance.id.clone(),
+            incarnation: self.incarnation,
+            peer,
+            http,
+            availability_zone: self.settings.instance.availability_zone.clone(),
+            timing: Default::default(),
+        };
+        let mut seeds = self.settings.peers.seeds.clone();
+        seeds.extend(self.control_addresses(peer).into_values());
+        seeds.sort();
+        seeds.dedup();
+        Arc::new(GossipDriver::new(parts, settings, &seeds))
+    }
+
+    fn make_plane(
+        &self,
+        group: Arc<ControlGroup>,
+        gossip: Arc<GossipDriver>,
+        member: Option<MemberHandle>,
+    ) -> Arc<ControlPlane> {
+        let parts = PlaneParts {
+            clock: self.clock,
+            instance: self.settings.instance.id.clone(),
+            incarnation: self.incarnation,
+            state: Arc::clone(&self.state),
+            group,
+            gossip,
+            board: Arc::clone(&self.board),
+            member,
+            timeline: Arc::clone(&self.timeline),
+            log: self.log.clone(),
+        };
+        Arc::new(ControlPlane::new(parts, Arc::clone(&self.renew_now)))
+    }
+
+    fn start_api(&self, plane: &Arc<ControlPlane>) -> Result<ApiServer, RuntimeError> {
+        let metrics = Arc::new(TierMetrics::default());
+        let parts = TierParts {
+            clock: self.clock,
+            instance: self.settings.instance.id.clone(),
+            incarnation: self.incarnation,
+            board: Arc::clone(&self.board),
+            client: Arc::clone(&self.client) as _,
+            claims: Arc::clone(plane) as _,
+            control: Arc::clone(plane) as _,
+            metrics: Arc::clone(&metrics),
+            log: self.log.clone(),
+        };
+        let tier = Arc::new(QueryTier::new(parts, Arc::clone(&self.state) as _));
+        let context = Arc::new(ApiContext {
+            tier,
+            control: Arc::new(Arc::clone(plane)),
+            keys: Arc::clone(&self.keys),
+            clock: self.clock,
+            metrics,
+        });
+        let limits = &self.settings.limits;
+        Ok(start_server(self.settings.listen.http, limits.max_body_bytes, context, &self.log)?)
+    }
+}
