--- a/crates/figglade/src/controller/quorum/election.rs
+++ b/crates/figglade/src/controller/quorum/election.rs
@@ -164,8 +164,13 @@
         self.append_own(vec![payload], now);
     }
 
+    /// Returns whether this member may campaign: as a voter, also when its removal is not known
+    /// to be committed, because the group may need the entries that only it holds.
     fn may_campaign(&self) -> bool {
-        self.members().is_voter(&self.settings.id) && self.is_storage_trusted()
+        let own_id = &self.settings.id;
+        let is_voter =
+            self.members().is_voter(own_id) || self.history.at(self.commit).is_voter(own_id);
+        is_voter && self.is_storage_trusted()
     }
 
     /// Returns whether the log of a candidate holds everything that may be committed here.
