Assemble an instance with its control member

Cause: try ran on a control plane in memory. Conclusion: one code path for one instance and for many.

--- a/crates/figglade-cli/src/try_tier.rs
+++ b/crates/figglade-cli/src/try_tier.rs
@@ -42,6 +42,8 @@
     Layout(stand_in::SettingsError),
     /// A stand-in target did not start.
     StandIn(StandInError),
+    /// The data folder could not be made.
+    Folder(std::io::Error),
     /// A request failed.
     Client(TestClientError),
     /// An answer was not the one expected.
@@ -56,7 +58,8 @@
 
 /// Starts an embedded tier and prints the answers to three requests.
 pub(crate) async fn run_try() -> Result<(), TryError> {
-    let settings = InstanceSettings::from_text(SETTINGS, Path::new("embedded settings"))?;
+    let folder = tempfile::tempdir()?;
+    let settings = embedded_settings(folder.path())?;
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let instance = InstanceRuntime::start(settings, log).await?;
     let address = instance.http_address();
@@ -72,6 +75,20 @@
     ended
 }
 
+/// Returns settings of a control member on free loopback ports that keeps its log in `folder`.
+fn embedded_settings(folder: &Path) -> Result<InstanceSettings, TryError> {
+    let peer = free_address()?;
+    let text = SETTINGS.replace("PEER", &peer.to_string());
+    let mut settings = InstanceSettings::from_text(&text, Path::new("embedded settings"))?;
+    settings.instance.data_dir = Some(folder.to_owned());
+    Ok(settings)
+}
+
+/// Returns a loopback address whose port is free at the moment.
+fn free_address() -> Result<SocketAddr, std::io::Error> {
+    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
 /// Settings of an instance on free loopback ports.
 const SETTINGS: &str = r#"
 [instance]
@@ -79,7 +96,9 @@
 availability_zone = "local"
 [listen]
 http = "127.0.0.1:0"
-peer = "127.0.0.1:0"
+peer = "PEER"
+[control]
+members = [{ id = "embedded", peer = "PEER" }]
 "#;
 
 async fn start_targets(address: SocketAddr) -> Result<Vec<StandIn>, TryError> {
--- a/crates/figgladed/src/control/gossip.rs
+++ b/crates/figgladed/src/control/gossip.rs
@@ -13,7 +13,7 @@
         event::EventKind,
         membership::{
             LeaderHint, MemberEvent, MemberRecord, MembershipAction, MembershipController,
-            MembershipMessage, MembershipSettings, PeerRef,
+            MembershipMessage, MembershipSettings,
         },
     },
     filter::routing::{LiveTarget, build_route},
@@ -302,8 +302,3 @@
             "from" => %from, "error" => error);
     }
 }
-
-/// Returns the peers named in `records`.
-pub fn peer_refs(records: &[MemberRecord]) -> Vec<PeerRef> {
-    records.iter().map(|record| PeerRef { id: record.id.clone(), peer: record.peer }).collect()
-}
--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -15,8 +15,8 @@
         ledger::{ConfigChange, Ledger, LedgerCommand, LedgerError, LedgerReply},
         quorum::{
             EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberChange, MemberSet, ProposeError,
-            QuorumAction, QuorumMessage, QuorumNode, QuorumSettings, QuorumStatus,
-            ReadTicket, Term,
+            QuorumAction, QuorumMessage, QuorumNode, QuorumSettings, QuorumStatus, ReadTicket,
+            Term,
         },
     },
     peer::{FrameKind, PeerFrame, encode_payload},
@@ -279,9 +279,7 @@
                 self.run_actions(actions)
             }
             MemberInput::Renew { request, reply } => self.begin_renewal(request, reply, now),
-            MemberInput::ChangeMember { request, reply } => {
-                self.change_member(request, reply, now)
-            }
+            MemberInput::ChangeMember { request, reply } => self.change_member(request, reply, now),
             MemberInput::HandOver => match self.node.transfer_leadership(None, now) {
                 Ok(actions) => self.run_actions(actions),
                 Err(_) => Ok(()),
--- a/crates/figgladed/src/control/mod.rs
+++ b/crates/figgladed/src/control/mod.rs
@@ -14,7 +14,8 @@
     gossip::{GossipDriver, GossipParts},
     group::{ControlGroup, ProposeMode},
     member::{
-        ControlMember, ELECTION_TIMEOUT, HEARTBEAT_PERIOD, LEASE_MARGIN, MemberHandle, MemberInput, MemberParts,
+        ControlMember, ELECTION_TIMEOUT, HEARTBEAT_PERIOD, LEASE_MARGIN, MemberHandle, MemberInput,
+        MemberParts,
     },
     message::{ControlReply, ControlRequest, LeaderAddress, MemberRequest},
     plane::{ControlPlane, PlaneHandler, PlaneParts},
--- a/crates/figgladed/src/control/operator.rs
+++ b/crates/figgladed/src/control/operator.rs
@@ -176,9 +176,8 @@
         let now = self.parts.clock.now();
         let alive = self.parts.gossip.alive();
         let version = self.parts.state.config().version;
-        let in_force =
-            alive.iter().filter(|record| record.facts.config_version >= version).count();
-        let unready = ControlPlane::unready_reason(self);
+        let in_force = alive.iter().filter(|record| record.facts.config_version >= version).count();
+        let unready = self.unready_reason();
         let view = self.parts.member.as_ref().map(super::member::MemberHandle::view);
         json!({
             "instance": self.parts.instance,
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -24,7 +24,7 @@
     },
     log_store::{FileLogStore, StoreLimits},
     metrics::TierMetrics,
-    peer_link::{PeerHandle, PeerLinkError, PeerLimits, PeerOptions, PeerTransport},
+    peer_link::{PeerHandle, PeerLinkError, PeerOptions, PeerTransport},
     settings::{InstanceSettings, LoadedKeys, SettingsError},
     target_client::HttpTargetClient,
     tier::{IndexBoard, QueryTier, TierParts},
@@ -180,14 +180,12 @@
         &self,
         handler: Arc<PlaneHandler>,
     ) -> Result<PeerTransport, RuntimeError> {
-        let options = PeerOptions {
-            keys: self.keys.peer.clone(),
-            ..PeerOptions::new(
-                self.settings.listen.peer,
-                self.settings.instance.id.clone(),
-                self.incarnation,
-            )
-        };
+        let options = PeerOptions::new(
+            self.settings.listen.peer,
+            self.settings.instance.id.clone(),
+            self.incarnation,
+            self.keys.peer.clone(),
+        );
         Ok(PeerTransport::start(options, handler, self.log.clone()).await?)
     }
 
@@ -223,9 +221,9 @@
 
     fn initial_members(&self, peer: SocketAddr) -> MemberSet {
         let addresses = self.control_addresses(peer);
-        let specs = addresses.into_iter().map(|(id, peer)| {
-            (id, MemberSpec { peer, storage: None, role: MemberRole::Voter })
-        });
+        let specs = addresses
+            .into_iter()
+            .map(|(id, peer)| (id, MemberSpec { peer, storage: None, role: MemberRole::Voter }));
         MemberSet { members: specs.collect() }
     }
 
