Number the announcements of stand-in targets

Cause: announcements gained an optional sequence, without which a delayed copy of an older one can replace a newer one of the same incarnation, and the testkit no longer built. Change: the sequence is the number of changes the target has gone through. Conclusion: builds again; version flips at run time now carry rising sequences.

--- a/crates/figglade-testkit/src/stand_in/core.rs
+++ b/crates/figglade-testkit/src/stand_in/core.rs
@@ -223,7 +223,10 @@
 
     /// Builds the announcement of the present state.
     pub(super) fn announcement(&self) -> Announcement {
+        // Read first, so that a change in between is sent again under its own number.
+        let sequence = *self.changes.borrow();
         Announcement {
+            sequence: Some(sequence),
             target_id: self.settings.target_id.clone(),
             incarnation: self.incarnation,
             address: self.settings.announced_address.unwrap_or(self.address),
