--- a/crates/figglade/tests/ledger_claims.rs
+++ b/crates/figglade/tests/ledger_claims.rs
@@ -214,6 +214,11 @@
     let last = kept(&ledger, fitting as u16);
     assert_eq!((last.outcome, last.result), (Done, None));
     assert!(last.reason.is_some_and(|reason| reason.contains("too many results")));
+    let later = request(WINDOW_MS + 2, 1);
+    ledger.begin(later, "a", ("i1", 1), WINDOW_MS + 2);
+    ledger.finish(later, "a", ("i1", 1), record(Done, Some(&text)), WINDOW_MS + 2);
+    let status = ledger.ledger.claim_status(later).cloned();
+    assert_eq!(status, Some(ClaimStatus::Ended(record(Done, Some(&text)))));
 
     let mut ledger = TestLedger::default();
     ledger.begin(request(0, 1), "a", ("i1", 1), 0);
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -146,6 +146,7 @@
     let mut ledger = TestLedger::default();
     let mut observed = Observed::default();
     for _ in 0..STEPS {
+        let clock = ledger.ledger.clock();
         observed.now += u.int_in_range(-5_000..=60_000)?;
         match u.int_in_range(0..=9)? {
             0..=3 => step_begin(u, &mut ledger, &mut observed)?,
@@ -155,6 +156,7 @@
             8 => step_report(u, &mut ledger)?,
             _ => step_restart(&mut ledger),
         }
+        assert!(ledger.ledger.clock() >= clock, "the clock fell");
         check_ends(&ledger, &mut observed);
     }
     Ok(())
