Send changed manifests only and keep the newest when space is short

A full set of manifests refused newer versions, because the bound was checked before the version that it would replace was dropped, and instances could only copy the whole set, which outgrows a peer frame. Claims and manifests are split into smaller modules.

--- a/crates/figglade/src/controller/ledger/manifests.rs
+++ b/crates/figglade/src/controller/ledger/manifests.rs
@@ -1,7 +1,6 @@
 //! Manifests of snapshots: the denominators of coverage, which outlive targets and instances.
 
-use std::collections::{BTreeMap, BTreeSet};
-
+use derive_more::{Display, From, FromStr, Into};
 use serde::{Deserialize, Serialize};
 
 use crate::{IndexName, IndexVersion, PartitionEpoch, ShardId, wire::Announcement};
@@ -17,7 +16,7 @@
 /// The most documents of one shard.
 pub const MAX_SHARD_DOCUMENTS: u64 = 1 << 40;
 /// The most shards of all manifests together.
-pub const MAX_ALL_SHARDS: usize = 400_000;
+pub const MAX_ALL_SHARDS: usize = 200_000;
 /// The most reports in one command.
 pub const MAX_REPORTS: usize = 4_096;
 
@@ -32,7 +31,7 @@
 
 impl Manifest {
     /// Builds a manifest that knows no documents yet.
-    fn new(shard_count: u32) -> Self {
+    pub(super) fn new(shard_count: u32) -> Self {
         Self { shard_count, documents: vec![None; shard_count as usize] }
     }
 
@@ -94,7 +93,7 @@
 }
 
 /// The reason a report was refused.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ManifestRefusal {
     /// The partition epoch has another shard count.
     #[display("the partition epoch has {recorded} shards")]
@@ -124,179 +123,40 @@
     pub refused: Vec<(u32, ManifestRefusal)>,
 }
 
-/// The most refusals named in one reply.
-const MAX_NAMED_REFUSALS: usize = 32;
-
-/// The manifests of one partition epoch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct EpochManifests {
-    /// The shards, as first announced.
-    shard_count: u32,
-    /// The manifests of the newest versions.
-    versions: BTreeMap<IndexVersion, Manifest>,
-}
-
-/// The manifests of the newest snapshots of each index.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ManifestSet {
-    /// The partition epochs of each index.
-    indexes: BTreeMap<IndexName, BTreeMap<PartitionEpoch, EpochManifests>>,
-    /// The shards of all manifests together.
-    all_shards: usize,
-}
-
-impl ManifestSet {
-    /// Returns the manifest of a snapshot.
-    pub fn manifest(
-        &self,
-        index: &IndexName,
-        partition_epoch: PartitionEpoch,
-        version: IndexVersion,
-    ) -> Option<&Manifest> {
-        self.indexes.get(index)?.get(&partition_epoch)?.versions.get(&version)
-    }
-
-    /// Returns the indexes that have a manifest.
-    pub fn indexes(&self) -> impl Iterator<Item = &IndexName> {
-        self.indexes.keys()
-    }
-
-    /// Returns the snapshots of an index, oldest first.
-    pub fn snapshots(
-        &self,
-        index: &IndexName,
-    ) -> impl DoubleEndedIterator<Item = (PartitionEpoch, IndexVersion, &Manifest)> {
-        self.indexes.get(index).into_iter().flatten().flat_map(|(epoch, manifests)| {
-            manifests.versions.iter().map(|(version, manifest)| (*epoch, *version, manifest))
-        })
-    }
-
-    /// Returns the reports that would change a manifest, each once, at most [`MAX_REPORTS`].
-    pub fn unrecorded(&self, reports: &[ManifestReport]) -> Vec<ManifestReport> {
-        let news: BTreeSet<&ManifestReport> =
-            reports.iter().filter(|report| self.is_news(report)).collect();
-        news.into_iter().take(MAX_REPORTS).cloned().collect()
-    }
-
-    /// Returns whether recording the report would change a manifest.
-    fn is_news(&self, report: &ManifestReport) -> bool {
-        if check_range(report).is_err() {
-            return false;
-        }
-        let snapshot = &report.snapshot;
-        let Some(epochs) = self.indexes.get(&snapshot.index) else {
-            return self.indexes.len() < MAX_INDEXES;
-        };
-        if is_retired(epochs, &snapshot.partition_epoch, KEPT_EPOCHS) {
-            return false;
-        }
-        let Some(manifests) = epochs.get(&snapshot.partition_epoch) else { return true };
-        if manifests.shard_count != report.shard_count
-            || is_retired(&manifests.versions, &snapshot.version, KEPT_VERSIONS)
-        {
-            return false;
-        }
-        let manifest = manifests.versions.get(&snapshot.version);
-        manifest.and_then(|manifest| manifest.shard_documents(report.shard))
-            < Some(report.documents)
-    }
-
-    /// Records reports in their order.
-    pub(super) fn record(&mut self, reports: &[ManifestReport]) -> ManifestReply {
-        let mut reply = ManifestReply::default();
-        for (position, report) in reports.iter().take(MAX_REPORTS).enumerate() {
-            match self.record_one(report) {
-                Ok(true) => reply.recorded += 1,
-                Ok(false) => {}
-                Err(refusal) if reply.refused.len() < MAX_NAMED_REFUSALS => {
-                    reply.refused.push((position as u32, refusal));
-                }
-                Err(_) => {}
-            }
-        }
-        reply
-    }
-
-    /// Records one report; returns whether it changed a manifest. The documents of a shard only
-    /// grow: a replica that was announced while it still loaded must not lower the denominator.
-    fn record_one(&mut self, report: &ManifestReport) -> Result<bool, ManifestRefusal> {
-        check_range(report)?;
-        self.make_room(report)?;
-        let snapshot = &report.snapshot;
-        let epochs = self.indexes.entry(snapshot.index.clone()).or_default();
-        let manifests = epochs.entry(snapshot.partition_epoch).or_insert_with(|| EpochManifests {
-            shard_count: report.shard_count,
-            versions: BTreeMap::new(),
-        });
-        let manifest = manifests.versions.entry(snapshot.version).or_insert_with(|| {
-            self.all_shards += report.shard_count as usize;
-            Manifest::new(report.shard_count)
-        });
-        let documents = &mut manifest.documents[report.shard.get() as usize];
-        let is_larger = *documents < Some(report.documents);
-        if is_larger {
-            *documents = Some(report.documents);
-        }
-        self.drop_retired(&snapshot.index);
-        Ok(is_larger)
-    }
-
-    /// Refuses a report that contradicts its epoch, is older than what is kept or does not fit.
-    fn make_room(&self, report: &ManifestReport) -> Result<(), ManifestRefusal> {
-        let snapshot = &report.snapshot;
-        let Some(epochs) = self.indexes.get(&snapshot.index) else {
-            let fits = self.indexes.len() < MAX_INDEXES && self.fits(report.shard_count);
-            return if fits { Ok(()) } else { Err(ManifestRefusal::Full) };
-        };
-        if is_retired(epochs, &snapshot.partition_epoch, KEPT_EPOCHS) {
-            return Err(ManifestRefusal::Retired);
-        }
-        if let Some(manifests) = epochs.get(&snapshot.partition_epoch) {
-            if manifests.shard_count != report.shard_count {
-                return Err(ManifestRefusal::ShardCount { recorded: manifests.shard_count });
-            }
-            if is_retired(&manifests.versions, &snapshot.version, KEPT_VERSIONS) {
-                return Err(ManifestRefusal::Retired);
-            }
-            if manifests.versions.contains_key(&snapshot.version) {
-                return Ok(());
-            }
-        }
-        if self.fits(report.shard_count) { Ok(()) } else { Err(ManifestRefusal::Full) }
-    }
-
-    /// Returns whether another manifest of `shard_count` shards fits.
-    const fn fits(&self, shard_count: u32) -> bool {
-        self.all_shards + shard_count as usize <= MAX_ALL_SHARDS
-    }
-
-    /// Drops the epochs and versions of an index beyond those kept.
-    fn drop_retired(&mut self, index: &IndexName) {
-        let Some(epochs) = self.indexes.get_mut(index) else { return };
-        while epochs.len() > KEPT_EPOCHS
-            && let Some((_, manifests)) = epochs.pop_first()
-        {
-            self.all_shards -= manifests.shard_count as usize * manifests.versions.len();
-        }
-        for manifests in epochs.values_mut() {
-            while manifests.versions.len() > KEPT_VERSIONS {
-                manifests.versions.pop_first();
-                self.all_shards -= manifests.shard_count as usize;
-            }
-        }
+/// Counts the changes of manifests.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    FromStr,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct ManifestRevision(u64);
+
+impl ManifestRevision {
+    /// Returns the next revision.
+    pub(super) const fn next(self) -> Self {
+        Self(self.0 + 1)
     }
 }
 
-/// Returns whether `key` is missing and older than all of the `kept` newest ones.
-fn is_retired<K: Ord, V>(newest: &BTreeMap<K, V>, key: &K, kept: usize) -> bool {
-    newest.len() >= kept && newest.first_key_value().is_some_and(|(oldest, _)| key < oldest)
-}
-
-/// Refuses a report outside the bounds.
-const fn check_range(report: &ManifestReport) -> Result<(), ManifestRefusal> {
-    let in_range = report.shard_count >= 1
-        && report.shard_count <= MAX_SHARDS
-        && report.shard.get() < report.shard_count
-        && report.documents <= MAX_SHARD_DOCUMENTS;
-    if in_range { Ok(()) } else { Err(ManifestRefusal::OutOfRange) }
+/// The manifests that changed since some revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ManifestNews {
+    /// The revision that the receiver holds after taking the changes; when it is lower than that of
+    /// the sender, there is more.
+    pub revision: ManifestRevision,
+    /// The changed manifests.
+    pub manifests: Vec<(SnapshotKey, Manifest)>,
 }
--- a/crates/figglade/src/controller/ledger/mod.rs
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -4,9 +4,11 @@
 //! nothing here reads a clock, draws a random number or depends on the order of a hash table.
 
 mod buckets;
+mod claim_table;
 mod claims;
 mod command;
 mod config;
+mod manifest_set;
 mod manifests;
 
 use std::sync::Arc;
@@ -22,7 +24,7 @@
 };
 
 use self::{
-    claims::{ClaimLimits, ClaimTable},
+    claim_table::{ClaimLimits, ClaimTable},
     config::ConfigBook,
 };
 
@@ -37,10 +39,11 @@
         LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
     },
     config::{ConfigChange, ConfigOutcome, MAX_HISTORY, MAX_REMEMBERED_CHANGES},
+    manifest_set::ManifestSet,
     manifests::{
         KEPT_EPOCHS, KEPT_VERSIONS, MAX_ALL_SHARDS, MAX_INDEXES, MAX_REPORTS, MAX_SHARD_DOCUMENTS,
-        MAX_SHARDS, Manifest, ManifestRefusal, ManifestReply, ManifestReport, ManifestSet,
-        SnapshotKey,
+        MAX_SHARDS, Manifest, ManifestNews, ManifestRefusal, ManifestReply, ManifestReport,
+        ManifestRevision, SnapshotKey,
     },
 };
 
--- a/crates/figglade/tests/ledger_manifests.rs
+++ b/crates/figglade/tests/ledger_manifests.rs
@@ -6,9 +6,11 @@
 use figglade::{
     IndexName, ShardId,
     controller::ledger::{
-        KEPT_EPOCHS, KEPT_VERSIONS, LedgerCommand, LedgerReply, MAX_INDEXES, MAX_SHARD_DOCUMENTS,
-        MAX_SHARDS, ManifestRefusal, ManifestReply, ManifestReport, SnapshotKey,
+        KEPT_EPOCHS, KEPT_VERSIONS, LedgerCommand, LedgerReply, MAX_ALL_SHARDS, MAX_INDEXES,
+        MAX_SHARD_DOCUMENTS, MAX_SHARDS, Manifest, ManifestNews, ManifestRefusal, ManifestReply,
+        ManifestReport, ManifestSet, SnapshotKey,
     },
+    peer::{MAX_FRAME_BYTES, encode_payload},
     wire::Announcement,
 };
 use ledger_common::TestLedger;
@@ -132,10 +134,63 @@
     assert_eq!(reply.refused, [(MAX_INDEXES as u32, ManifestRefusal::Full)]);
 
     let mut ledger = TestLedger::default();
-    let large: Vec<_> = (0..60).map(|number| named(number, MAX_SHARDS)).collect();
+    let fitting = MAX_ALL_SHARDS / MAX_SHARDS as usize;
+    let large: Vec<_> = (0..fitting + 3).map(|number| named(number, MAX_SHARDS)).collect();
     let reply = record(&mut ledger, &large);
-    assert_eq!(reply.recorded, 48);
+    assert_eq!(reply.recorded as usize, fitting);
     assert!(reply.refused.iter().all(|(_, refusal)| *refusal == ManifestRefusal::Full));
+    assert_eq!(ledger.ledger.manifests().unrecorded(&large), Vec::new());
+
+    // A newer version takes the room of an older one of its index.
+    let mut newer = named(0, MAX_SHARDS);
+    newer.snapshot.version = 2.into();
+    assert_eq!(record(&mut ledger, &[newer.clone()]).recorded, 1);
+    let manifests = ledger.ledger.manifests();
+    let held: Vec<u64> =
+        manifests.snapshots(&newer.snapshot.index).map(|held| held.1.get()).collect();
+    assert_eq!(held, [2]);
+    assert_eq!(manifests.unrecorded(&large), Vec::new());
+}
+
+#[test]
+fn news_bring_another_set_up_to_date_in_bounded_messages() {
+    let mut ledger = TestLedger::default();
+    let mut copy = ManifestSet::default();
+    for number in 0..20 {
+        let mut report = ManifestReport { shard_count: MAX_SHARDS, ..report(1, 1, 0, 1 << 40) };
+        report.snapshot.index = format!("index-{number}").parse().unwrap();
+        record(&mut ledger, &[report]);
+    }
+    let manifests = ledger.ledger.manifests();
+    let mut messages = 0;
+    while copy.revision() < manifests.revision() {
+        let news = manifests.news_since(copy.revision());
+        assert!(encode_payload(&news).unwrap().len() < MAX_FRAME_BYTES / 2);
+        copy.adopt(&news);
+        messages += 1;
+    }
+    assert_eq!(messages, 4);
+    assert!(copy.indexes().eq(manifests.indexes()));
+    record(&mut ledger, &[report(1, 1, 1, 5), report(1, 1, 0, 7)]);
+    let news = ledger.ledger.manifests().news_since(copy.revision());
+    assert_eq!(news.manifests.len(), 1);
+    copy.adopt(&news);
+    let total = copy.manifest(&index(), 1.into(), 1.into()).unwrap().total_documents();
+    assert_eq!(total, Some(12));
+    let nothing = ledger.ledger.manifests().news_since(copy.revision());
+    assert_eq!((nothing.manifests.len(), nothing.revision), (0, copy.revision()));
+}
+
+#[test]
+fn malformed_news_are_left_out() {
+    let mut copy = ManifestSet::default();
+    let key = report(1, 1, 0, 0).snapshot;
+    let malformed = [(3, vec![None]), (0, vec![]), (MAX_SHARDS + 1, vec![None])];
+    for (shard_count, documents) in malformed {
+        let manifests = vec![(key.clone(), Manifest { shard_count, documents })];
+        copy.adopt(&ManifestNews { manifests, ..ManifestNews::default() });
+        assert_eq!(copy, ManifestSet::default());
+    }
 }
 
 #[test]
