Divide connection caps among instances under leases

Cause: many instances connect to a target that caps its connections, and instances come, go and are cut off. Change: a share is a pure division of the cap over the holders of a committed epoch; epochs change in two steps with acknowledgements, a lease runs out at the holder before it does at the leader, and a new leader waits a whole lease before anybody grows.

--- /dev/null
+++ b/crates/figglade/tests/share_leases.rs
@@ -0,0 +1,381 @@
+//! Shares of connection caps while instances come, go, restart and are cut off.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use figglade::{
+    Incarnation, InstanceId, TargetId, Timestamp,
+    controller::{
+        quorum::Term,
+        share::{
+            HolderSet, LeasePhase, ShareAction, ShareGrant, ShareHolder, ShareLeader, ShareRequest,
+            ShareTiming,
+        },
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The caps of the targets, below and above the number of instances.
+const CAPS: [u32; 4] = [30, 120, 7, 3];
+
+/// The time between two steps of the simulation.
+const STEP: Duration = Duration::from_millis(20);
+
+enum Letter {
+    Request { from: usize, sent_at: Timestamp, request: ShareRequest },
+    Grant { to: usize, incarnation: Incarnation, sent_at: Timestamp, grant: ShareGrant },
+    Commit(HolderSet),
+}
+
+/// One instance with a clock of its own and the connections it has open.
+struct Instance {
+    holder: Option<ShareHolder>,
+    incarnation: u64,
+    clock_rate: f64,
+    clock_offset: u64,
+    cut_off: bool,
+    open: [u32; CAPS.len()],
+}
+
+/// Instances, the leader and its log, over a network that loses, delays and doubles.
+struct Cluster {
+    rng: ChaCha8Rng,
+    now: Timestamp,
+    timing: ShareTiming,
+    instances: Vec<Instance>,
+    leader: Option<ShareLeader>,
+    term: u64,
+    log: HolderSet,
+    letters: BTreeMap<(Timestamp, u64), Letter>,
+    sequence: u64,
+    rough: bool,
+}
+
+fn target(position: usize) -> TargetId {
+    format!("t{position}").parse().unwrap()
+}
+
+fn instance_id(position: usize) -> InstanceId {
+    format!("i{position}").parse().unwrap()
+}
+
+impl Cluster {
+    fn new(seed: u64, count: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let instances = (0..count)
+            .map(|_| Instance {
+                holder: None,
+                incarnation: 0,
+                clock_rate: rng.random_range(0.99..1.01),
+                clock_offset: rng.random_range(0..1_000_000_000),
+                cut_off: false,
+                open: [0; CAPS.len()],
+            })
+            .collect();
+        let mut cluster = Self {
+            rng,
+            now: Timestamp::from_millis(1_000),
+            timing: ShareTiming::default(),
+            instances,
+            leader: None,
+            term: 0,
+            log: HolderSet::default(),
+            letters: BTreeMap::new(),
+            sequence: 0,
+            rough: true,
+        };
+        cluster.elect();
+        cluster
+    }
+
+    fn local(&self, position: usize) -> Timestamp {
+        let instance = &self.instances[position];
+        let elapsed = self.now.as_micros() as f64 * instance.clock_rate;
+        Timestamp::from_micros(elapsed as u64 + instance.clock_offset)
+    }
+
+    fn elect(&mut self) {
+        self.term += 1;
+        let term = Term::new(self.term);
+        self.leader = Some(ShareLeader::new(term, self.log.clone(), self.timing, self.now));
+    }
+
+    fn start(&mut self, position: usize) {
+        let now = self.local(position);
+        let instance = &mut self.instances[position];
+        instance.incarnation += 1;
+        let incarnation = Incarnation::new(instance.incarnation);
+        let holder = ShareHolder::new(instance_id(position), incarnation, self.timing, now);
+        instance.holder = Some(holder);
+        instance.open = [0; CAPS.len()];
+    }
+
+    fn crash(&mut self, position: usize) {
+        self.instances[position].holder = None;
+        self.instances[position].open = [0; CAPS.len()];
+    }
+
+    fn leave(&mut self, position: usize) {
+        let sent_at = self.local(position);
+        if let Some(mut holder) = self.instances[position].holder.take() {
+            self.instances[position].open = [0; CAPS.len()];
+            let request = holder.begin_release();
+            self.post(Letter::Request { from: position, sent_at, request });
+        }
+    }
+
+    /// Sends a letter with loss, delay and doubling.
+    fn post(&mut self, letter: Letter) {
+        let lossy = self.rough && !matches!(letter, Letter::Commit(_));
+        if lossy && self.rng.random_bool(0.15) {
+            return;
+        }
+        let most = if self.rough { 900 } else { 4 };
+        let delay = Duration::from_millis(self.rng.random_range(1..=most));
+        if lossy && self.rng.random_bool(0.1) {
+            let copy = match &letter {
+                Letter::Request { from, sent_at, request } => {
+                    Letter::Request { from: *from, sent_at: *sent_at, request: request.clone() }
+                }
+                Letter::Grant { to, incarnation, sent_at, grant } => Letter::Grant {
+                    to: *to,
+                    incarnation: *incarnation,
+                    sent_at: *sent_at,
+                    grant: grant.clone(),
+                },
+                Letter::Commit(set) => Letter::Commit(set.clone()),
+            };
+            let late = Duration::from_millis(self.rng.random_range(1..=9_000));
+            self.enqueue(late, copy);
+        }
+        self.enqueue(delay, letter);
+    }
+
+    fn enqueue(&mut self, delay: Duration, letter: Letter) {
+        self.sequence += 1;
+        self.letters.insert((self.now + delay, self.sequence), letter);
+    }
+
+    fn propose(&mut self, actions: Vec<ShareAction>) {
+        for ShareAction::ProposeHolders(set) in actions {
+            // Some proposals are lost; others are committed late, even after another election.
+            if !self.rough || self.rng.random_bool(0.8) {
+                self.post(Letter::Commit(set));
+            }
+        }
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        match letter {
+            Letter::Request { from, sent_at, request } => {
+                if self.instances[from].cut_off {
+                    return;
+                }
+                let Some(leader) = &mut self.leader else { return };
+                let (grant, actions) = leader.handle_request(&request, self.now);
+                self.propose(actions);
+                let incarnation = request.incarnation;
+                self.post(Letter::Grant { to: from, incarnation, sent_at, grant });
+            }
+            Letter::Grant { to, incarnation, sent_at, grant } => {
+                let now = self.local(to);
+                let instance = &mut self.instances[to];
+                let same_life = instance.incarnation == incarnation.get();
+                if let Some(holder) = instance.holder.as_mut().filter(|_| same_life)
+                    && !instance.cut_off
+                {
+                    holder.handle_grant(grant, sent_at, now);
+                }
+            }
+            Letter::Commit(set) => {
+                if set.epoch != self.log.epoch.next() {
+                    return;
+                }
+                self.log = set.clone();
+                if let Some(leader) = &mut self.leader {
+                    let actions = leader.handle_committed(set, self.now);
+                    self.propose(actions);
+                }
+            }
+        }
+    }
+
+    /// Opens all that is allowed, closes slowly what is too much, and asks for leases.
+    fn drive(&mut self, position: usize) {
+        let now = self.local(position);
+        let instance = &mut self.instances[position];
+        let Some(holder) = &mut instance.holder else { return };
+        let expired = holder.lease_phase(now) == LeasePhase::Expired;
+        let mut within_limits = true;
+        for (position, cap) in CAPS.into_iter().enumerate() {
+            let open = &mut instance.open[position];
+            let wanted = holder.connection_share(&target(position), cap, now);
+            *open = if expired { 0 } else { (*open).max(wanted) };
+            let limit = holder.open_limit(&target(position), cap, now);
+            if *open > limit && self.rng.random_bool(0.5) {
+                *open -= 1;
+            }
+            within_limits &= *open <= limit;
+        }
+        if within_limits && let Some(epoch) = holder.unconfirmed_epoch() {
+            holder.confirm_epoch(epoch, now);
+        }
+        if now >= holder.next_request_at() {
+            let request = holder.begin_request(now);
+            self.post(Letter::Request { from: position, sent_at: now, request });
+        }
+    }
+
+    fn step(&mut self, seed: u64) {
+        self.now = self.now + STEP;
+        while let Some(entry) = self.letters.first_entry().filter(|entry| entry.key().0 <= self.now)
+        {
+            let letter = entry.remove();
+            self.deliver(letter);
+        }
+        if let Some(leader) = &mut self.leader {
+            let actions = leader.handle_tick(self.now);
+            self.propose(actions);
+        }
+        for position in 0..self.instances.len() {
+            self.drive(position);
+        }
+        for (position, cap) in CAPS.into_iter().enumerate() {
+            let open: u32 = self.instances.iter().map(|instance| instance.open[position]).sum();
+            assert!(open <= cap, "seed {seed}: {open} connections pass the cap of {cap}");
+        }
+    }
+
+    fn run(&mut self, seed: u64, time: Duration) {
+        for _ in 0..time.as_micros() / STEP.as_micros() {
+            self.step(seed);
+        }
+    }
+
+    /// Starts, stops, cuts off or reconnects an instance, or changes the leader.
+    fn disturb(&mut self, seed: u64) {
+        let position = self.rng.random_range(0..self.instances.len());
+        match self.rng.random_range(0..7) {
+            0 => self.crash(position),
+            1 => self.leave(position),
+            2 => self.instances[position].cut_off ^= true,
+            3 => {
+                self.leader = None;
+                let gap = self.rng.random_range(0..3_000);
+                self.run(seed, Duration::from_millis(gap));
+                self.elect();
+            }
+            _ if self.instances[position].holder.is_none() => self.start(position),
+            _ => {}
+        }
+    }
+
+    /// Returns the connections open to each target.
+    fn open(&self) -> [u32; CAPS.len()] {
+        let mut sums = [0; CAPS.len()];
+        for instance in &self.instances {
+            for (sum, open) in sums.iter_mut().zip(instance.open) {
+                *sum += open;
+            }
+        }
+        sums
+    }
+}
+
+#[test]
+fn the_sum_never_passes_a_cap_and_comes_back_to_it() {
+    for seed in 0..24 {
+        let count = 2 + seed as usize % 6;
+        let mut cluster = Cluster::new(seed, count);
+        for position in 0..count {
+            cluster.start(position);
+        }
+        for _ in 0..30 {
+            cluster.disturb(seed);
+            let pause = cluster.rng.random_range(0..4_000);
+            cluster.run(seed, Duration::from_millis(pause));
+        }
+        cluster.rough = false;
+        for position in 0..count {
+            cluster.instances[position].cut_off = false;
+            if cluster.instances[position].holder.is_none() {
+                cluster.start(position);
+            }
+        }
+        cluster.run(seed, Duration::from_secs(40));
+        assert_eq!(cluster.open(), CAPS, "seed {seed}");
+    }
+}
+
+#[test]
+fn one_instance_gets_the_whole_cap_within_a_second() {
+    let mut cluster = Cluster::new(1, 1);
+    cluster.rough = false;
+    cluster.start(0);
+    cluster.run(1, Duration::from_secs(1));
+    assert_eq!(cluster.open(), CAPS);
+}
+
+#[test]
+fn a_planned_stop_frees_the_share_at_once() {
+    let mut cluster = Cluster::new(2, 4);
+    cluster.rough = false;
+    for position in 0..4 {
+        cluster.start(position);
+    }
+    cluster.run(2, Duration::from_secs(10));
+    assert_eq!(cluster.open(), CAPS);
+    cluster.leave(3);
+    cluster.run(2, Duration::from_secs(3));
+    assert_eq!(cluster.instances[3].open, [0; CAPS.len()]);
+    assert_eq!(cluster.open(), CAPS);
+}
+
+#[test]
+fn an_instance_that_is_cut_off_closes_before_others_grow() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.rough = false;
+    for position in 0..3 {
+        cluster.start(position);
+    }
+    cluster.run(3, Duration::from_secs(10));
+    let before = cluster.instances[0].open;
+    cluster.instances[2].cut_off = true;
+    cluster.run(3, Duration::from_secs(3));
+    assert_eq!(cluster.instances[0].open, before, "nobody grows while the lease may run");
+    cluster.run(3, Duration::from_secs(9));
+    assert_eq!(cluster.instances[2].open, [0; CAPS.len()]);
+    assert_eq!(cluster.open(), CAPS);
+}
+
+#[test]
+fn a_new_leader_lets_nobody_grow_for_a_whole_lease() {
+    let mut cluster = Cluster::new(4, 3);
+    cluster.rough = false;
+    cluster.start(0);
+    cluster.start(1);
+    cluster.run(4, Duration::from_secs(10));
+    cluster.elect();
+    cluster.start(2);
+    cluster.run(4, Duration::from_secs(6));
+    assert_eq!(cluster.instances[2].open, [0; CAPS.len()]);
+    assert_eq!(cluster.open(), CAPS, "the others keep their shares meanwhile");
+    cluster.run(4, Duration::from_secs(6));
+    assert!(cluster.instances[2].open[0] > 0);
+    assert_eq!(cluster.open(), CAPS);
+}
+
+#[test]
+fn a_restart_waits_until_the_former_lease_is_over() {
+    let mut cluster = Cluster::new(5, 2);
+    cluster.rough = false;
+    cluster.start(0);
+    cluster.start(1);
+    cluster.run(5, Duration::from_secs(10));
+    cluster.crash(1);
+    cluster.start(1);
+    cluster.run(5, Duration::from_secs(3));
+    assert_eq!(cluster.instances[1].open, [0; CAPS.len()]);
+    cluster.run(5, Duration::from_secs(6));
+    assert_eq!(cluster.open(), CAPS);
+}
