Test the target directory under loss, cuts, replays and crashes

Cause: the directory had no failure tests, and a watcher that was nearly cut off lapsed targets that renewed elsewhere. Change: a watcher asks the other one before a lapse and lets a target lapse at once only when that one did not hear of it either; without an answer it waits two more periods.

--- a/crates/figglade/src/controller/directory/controller.rs
+++ b/crates/figglade/src/controller/directory/controller.rs
@@ -300,9 +300,9 @@
                 }
             }
             DirectoryMessage::LapseQuery { targets } => {
-                self.answer_query(from, &targets, now, &mut actions);
+                self.answer_query(from, targets, now, &mut actions);
             }
-            DirectoryMessage::LapseReply { targets } => self.extend_watches(&targets, now),
+            DirectoryMessage::LapseReply { targets } => self.settle_watches(&targets, now),
             DirectoryMessage::Sync(sync) => self.handle_sync(from, sync, now, rng, &mut actions),
         }
         self.report_change(&mut actions);
--- a/crates/figglade/src/controller/directory/reconcile.rs
+++ b/crates/figglade/src/controller/directory/reconcile.rs
@@ -1,13 +1,13 @@
 //! Renewals, lapses and anti-entropy of the directory.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use rand::{Rng, RngExt, seq::IndexedRandom};
 
 use super::{
     controller::TargetDirectory,
     types::{DirectoryAction, DirectoryMessage, DirectoryRecord, TargetKey},
-    watches::{QUERY_TIMEOUT, TargetWatch, WatchPhase},
+    watches::{MAX_UNANSWERED, QUERY_TIMEOUT, TargetWatch, WatchPhase},
 };
 use crate::{
     Incarnation, InstanceId, Timestamp,
@@ -26,7 +26,7 @@
 const RANKS_PER_TICK: usize = 100_000;
 
 /// The time between two attempts to load the directory.
-const COLD_SYNC_PERIOD: std::time::Duration = std::time::Duration::from_millis(500);
+const COLD_SYNC_PERIOD: Duration = Duration::from_millis(500);
 
 impl TargetDirectory {
     /// Takes over the live instances; when they changed, the watches are gone through again and
@@ -138,24 +138,38 @@
         }
     }
 
-    /// Asks the other watcher about targets that fell silent, and lapses those it did not hear of.
+    /// Asks the other watcher about targets that fell silent, and lapses those that nobody heard.
+    ///
+    /// A watcher that hears neither from the target nor from the other watcher may itself be cut
+    /// off, so it waits longer before it believes its own silence.
     pub(super) fn lapse_due(&mut self, now: Timestamp, actions: &mut Vec<DirectoryAction>) {
-        let mut queries = std::collections::BTreeMap::<InstanceId, Vec<TargetKey>>::new();
+        let mut queries = BTreeMap::<InstanceId, Vec<TargetKey>>::new();
         for (key, watch) in self.watches.take_due(now) {
-            let current = self.table.entry(key).is_some_and(|entry| {
-                entry.announcement().incarnation == watch.incarnation && !entry.record.is_quiet()
-            });
-            if !current || !self.is_watcher(key) {
+            if !self.is_current(key, &watch) || !self.is_watcher(key) {
                 self.watch_if_chosen(key, now);
                 continue;
             }
             let others = self.other_watchers(key);
-            if watch.phase == WatchPhase::Asked || others.is_empty() {
+            let sent = match watch.phase {
+                _ if others.is_empty() => MAX_UNANSWERED,
+                WatchPhase::Extended => MAX_UNANSWERED,
+                WatchPhase::Asked { queries } if queries < MAX_UNANSWERED => {
+                    let deadline = now + self.lapse_timeout();
+                    let phase = WatchPhase::Unanswered { queries };
+                    self.watches.set(key, TargetWatch { deadline, phase, ..watch });
+                    continue;
+                }
+                WatchPhase::Asked { .. } => MAX_UNANSWERED,
+                WatchPhase::Unanswered { queries } => queries,
+                WatchPhase::Heard => 0,
+            };
+            if sent >= MAX_UNANSWERED {
                 self.turn_lapse(key, now);
                 continue;
             }
             let deadline = now + QUERY_TIMEOUT;
-            self.watches.set(key, TargetWatch { deadline, phase: WatchPhase::Asked, ..watch });
+            let phase = WatchPhase::Asked { queries: sent + 1 };
+            self.watches.set(key, TargetWatch { deadline, phase, ..watch });
             for other in others {
                 queries.entry(other).or_default().push(TargetKey(key, watch.incarnation));
             }
@@ -167,38 +181,51 @@
         }
     }
 
-    /// Names the targets of a query that this instance heard of.
+    /// Returns whether the watch is of the incarnation held, and that has not lapsed or left.
+    fn is_current(&self, key: u64, watch: &TargetWatch) -> bool {
+        self.table.entry(key).is_some_and(|entry| {
+            entry.announcement().incarnation == watch.incarnation && !entry.record.is_quiet()
+        })
+    }
+
+    /// Tells the other watcher how long targets have left here; zero for those not heard of.
     pub(super) fn answer_query(
         &self,
         from: SocketAddr,
-        targets: &[TargetKey],
+        targets: Vec<TargetKey>,
         now: Timestamp,
         actions: &mut Vec<DirectoryAction>,
     ) {
-        let left = |target: &TargetKey| {
-            let watch = self.watches.watch(target.0)?;
-            let heard = watch.incarnation == target.1 && watch.phase == WatchPhase::Heard;
-            let left = watch.deadline.since(now).as_millis() as u64;
-            (heard && left > 0).then_some((*target, left))
+        let left = |target: TargetKey| {
+            let watch = self.watches.watch(target.0);
+            let heard = watch
+                .filter(|watch| watch.incarnation == target.1 && watch.phase == WatchPhase::Heard);
+            let left = heard.map_or(0, |watch| watch.deadline.since(now).as_millis() as u64);
+            (target, left)
         };
-        let targets: Vec<_> = targets.iter().filter_map(left).collect();
-        if !targets.is_empty() {
-            let message = DirectoryMessage::LapseReply { targets };
-            actions.push(DirectoryAction::Send { to: from, message });
-        }
+        let targets = targets.into_iter().map(left).collect();
+        let message = DirectoryMessage::LapseReply { targets };
+        actions.push(DirectoryAction::Send { to: from, message });
     }
 
-    /// Gives targets that the other watcher heard of the time they have there.
-    pub(super) fn extend_watches(&mut self, targets: &[(TargetKey, u64)], now: Timestamp) {
+    /// Gives targets that the other watcher heard of the time they have there, and lapses the
+    /// others.
+    pub(super) fn settle_watches(&mut self, targets: &[(TargetKey, u64)], now: Timestamp) {
         let longest = self.lapse_timeout();
         for (TargetKey(key, incarnation), left_ms) in targets {
             let Some(watch) = self.watches.watch(*key) else { continue };
-            if watch.incarnation == *incarnation && watch.phase == WatchPhase::Asked {
-                let left = std::time::Duration::from_millis(*left_ms).min(longest);
-                let deadline = watch.deadline.max(now + left);
-                // The phase stays, so two watchers cannot keep extending each other.
-                self.watches.set(*key, TargetWatch { deadline, ..watch });
+            let asked = matches!(watch.phase, WatchPhase::Asked { .. });
+            if watch.incarnation != *incarnation || !asked || !self.is_current(*key, &watch) {
+                continue;
+            }
+            if *left_ms == 0 {
+                self.watches.remove(*key);
+                self.turn_lapse(*key, now);
+                continue;
             }
+            let deadline = now + Duration::from_millis(*left_ms).min(longest);
+            // An extension is never passed on, so two watchers cannot keep extending each other.
+            self.watches.set(*key, TargetWatch { deadline, phase: WatchPhase::Extended, ..watch });
         }
     }
 
--- a/crates/figglade/src/controller/directory/types.rs
+++ b/crates/figglade/src/controller/directory/types.rs
@@ -291,10 +291,11 @@
         #[serde(rename = "t")]
         targets: Vec<TargetKey>,
     },
-    /// Names the targets of a query that were heard of.
+    /// Tells how long the targets of a query have left.
     #[serde(rename = "H")]
     LapseReply {
-        /// The targets, each with the time left until it lapses here, in milliseconds.
+        /// The targets, each with the time until it lapses here, in milliseconds; 0 when this
+        /// watcher did not hear of it either.
         #[serde(rename = "t")]
         targets: Vec<(TargetKey, u64)>,
     },
--- a/crates/figglade/src/controller/directory/watches.rs
+++ b/crates/figglade/src/controller/directory/watches.rs
@@ -7,13 +7,26 @@
 /// The time that the other watcher has to answer before a target lapses.
 pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The queries without an answer after which a target lapses all the same.
+pub(super) const MAX_UNANSWERED: u8 = 3;
+
 /// How far a watched target is on its way to lapse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WatchPhase {
     /// The target renewed and the other watcher was not asked since.
     Heard,
-    /// The other watcher was asked.
-    Asked,
+    /// The other watcher was asked, `queries` times so far, and may still answer.
+    Asked {
+        /// The queries sent.
+        queries: u8,
+    },
+    /// The other watcher did not answer; it is asked again after another full period.
+    Unanswered {
+        /// The queries sent.
+        queries: u8,
+    },
+    /// The other watcher had heard of the target; it lapses here when it does there.
+    Extended,
 }
 
 /// One watched target.
--- a/crates/figglade/tests/membership_support/mod.rs
+++ b/crates/figglade/tests/membership_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod targets;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
