--- a/crates/figglade/src/controller/event.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Events of the time line and their hybrid logical clock.
