--- a/crates/figgladed/schema/peer.capnp
+++ b/crates/figgladed/schema/peer.capnp
@@ -23,6 +23,12 @@
   nonce @3 :Data;         # 32 random bytes, new for each connection.
 }
 
+# A point on the hybrid clocks of the fleet; zeros stand for none.
+struct Stamp {
+  wallMs @0 :UInt64;  # Milliseconds since the Unix epoch.
+  logical @1 :UInt32; # Orders stamps within a millisecond.
+}
+
 # What a new connection offers. Nothing else is reachable before the proof.
 interface PeerGate {
   # Offers a range of protocol versions and names the dialing instance.
@@ -36,9 +42,9 @@
 # What an authenticated connection offers.
 interface PeerSession {
   # Hands over a frame that needs no answer; the return bounds what is in flight.
-  send @0 (kind :UInt16, payload :Data) -> ();
+  send @0 (kind :UInt16, payload :Data, stamp :Stamp) -> ();
 
   # Hands over a frame and waits at most timeoutMs milliseconds for the answer.
-  call @1 (kind :UInt16, payload :Data, timeoutMs :UInt32)
-       -> (refusal :Refusal, reason :Text, kind :UInt16, payload :Data);
+  call @1 (kind :UInt16, payload :Data, timeoutMs :UInt32, stamp :Stamp)
+       -> (refusal :Refusal, reason :Text, kind :UInt16, payload :Data, stamp :Stamp);
 }
--- a/crates/figgladed/src/peer_link/codec.rs
+++ b/crates/figgladed/src/peer_link/codec.rs
@@ -1,11 +1,11 @@
 //! Turns schema types into the types of the transport and back.
 
 use capnp::message::ReaderOptions;
-use figglade::{Incarnation, peer::MAX_FRAME_BYTES};
+use figglade::{Incarnation, WallTime, controller::event::HybridStamp, peer::MAX_FRAME_BYTES};
 
 use super::{
     auth::{PROOF_BYTES, PeerIdentity},
-    generated::peer_capnp::{Refusal, identity},
+    generated::peer_capnp::{Refusal, identity, stamp},
     types::CallRefusal,
 };
 
@@ -50,6 +50,17 @@
     builder.set_nonce(&identity.nonce);
 }
 
+/// Reads a stamp.
+pub(super) fn read_stamp(reader: stamp::Reader<'_>) -> HybridStamp {
+    HybridStamp { wall: WallTime::from_millis(reader.get_wall_ms()), logical: reader.get_logical() }
+}
+
+/// Writes a stamp.
+pub(super) fn write_stamp(mut builder: stamp::Builder<'_>, stamp: HybridStamp) {
+    builder.set_wall_ms(stamp.wall.as_millis());
+    builder.set_logical(stamp.logical);
+}
+
 /// Returns the number and the reason that stand for a refusal in a message.
 pub(super) fn encode_refusal(refusal: &CallRefusal) -> (Refusal, &str) {
     match refusal {
--- a/crates/figgladed/src/peer_link/gate.rs
+++ b/crates/figgladed/src/peer_link/gate.rs
@@ -157,6 +157,7 @@
         _results: peer_session::SendResults,
     ) -> capnp::Result<()> {
         let params = params.get()?;
+        self.context.observe_stamp(params.get_stamp());
         if let Some(frame) = self.read_frame(params.get_kind(), params.get_payload()?)? {
             self.context.handler.handle_frame(self.sender.clone(), frame);
         }
@@ -170,6 +171,7 @@
     ) -> capnp::Result<()> {
         let (frame, time) = {
             let params = params.get()?;
+            self.context.observe_stamp(params.get_stamp());
             let time = Duration::from_millis(params.get_timeout_ms().into()).min(MAX_CALL_TIME);
             (self.read_frame(params.get_kind(), params.get_payload()?)?, time)
         };
@@ -182,6 +184,7 @@
             }
         };
         let mut reply = results.get();
+        self.context.write_stamp(reply.reborrow().init_stamp());
         match answer {
             Ok(frame) => {
                 reply.set_kind(frame.kind.number());
--- a/crates/figgladed/src/peer_link/link.rs
+++ b/crates/figgladed/src/peer_link/link.rs
@@ -235,6 +235,7 @@
         let mut request = self.session.send_request();
         request.get().set_kind(frame.kind.number());
         request.get().set_payload(&frame.payload);
+        self.context.write_stamp(request.get().init_stamp());
         let promise = request.send().promise;
         self.context.traffic.frames_out.add(1);
         self.state.sent_frames.update(|count| count + 1);
@@ -271,17 +272,18 @@
         params.set_kind(call.frame.kind.number());
         params.set_payload(&call.frame.payload);
         params.set_timeout_ms(u32::try_from(call.time_left().as_millis()).unwrap_or(u32::MAX));
+        self.context.write_stamp(params.init_stamp());
         let promise = request.send().promise;
         self.context.traffic.frames_out.add(1);
         self.state.calls.update(|count| count + 1);
-        let (_, state, queue) = self.share();
+        let (context, state, queue) = self.share();
         spawn_local(async move {
             let answer = timeout(call.time_left(), promise).await;
             state.calls.update(|count| count - 1);
             let answer = match answer {
                 Ok(Ok(response)) => {
                     state.useful.set(true);
-                    read_answer(&response)
+                    read_answer(&context, &response)
                 }
                 Ok(Err(error)) => Err(PeerCallError::Unknown(describe_loss(&error))),
                 Err(_) => Err(PeerCallError::Unknown(UnknownReason::TimedOut)),
@@ -300,10 +302,12 @@
 
 /// Reads the answer to a call; one that cannot be read leaves the outcome unknown.
 fn read_answer(
+    context: &LinkContext,
     response: &capnp::capability::Response<peer_session::call_results::Owned>,
 ) -> Result<PeerFrame, PeerCallError> {
     let parsed = || -> capnp::Result<Result<PeerFrame, PeerCallError>> {
         let reply = response.get()?;
+        context.observe_stamp(reply.get_stamp());
         let reason = reply.get_reason()?.to_str()?;
         if let Some(refusal) = codec::decode_refusal(reply.get_refusal()?, reason) {
             return Ok(Err(PeerCallError::Refused(refusal)));
--- a/crates/figgladed/src/peer_link/mod.rs
+++ b/crates/figgladed/src/peer_link/mod.rs
@@ -48,7 +48,7 @@
     traffic::PeerTraffic,
     types::{
         CallRefusal, NotSentReason, PeerCallError, PeerHandler, PeerLinkError, PeerSender,
-        UnknownReason,
+        StampClock, UnknownReason,
     },
 };
 
@@ -97,6 +97,7 @@
             incarnation: options.incarnation,
             address: options.advertise.unwrap_or(address),
             keys: LinkKeys::new(options.keys.as_ref()),
+            clock: options.clock,
             versions: options.versions,
             limits: options.limits,
             handler,
--- a/crates/figgladed/src/peer_link/options.rs
+++ b/crates/figgladed/src/peer_link/options.rs
@@ -1,9 +1,10 @@
 //! What a transport is started with.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use figglade::{Incarnation, InstanceId, peer::MAX_FRAME_BYTES};
 
+use super::types::StampClock;
 use crate::settings::KeySet;
 
 /// The version of the peer protocol that this release speaks.
@@ -87,7 +88,7 @@
 }
 
 /// What a transport is started with.
-#[derive(Clone, Debug)]
+#[derive(Clone, derive_more::Debug)]
 pub struct PeerOptions {
     /// Where to listen; port 0 takes a free port.
     pub listen: SocketAddr,
@@ -99,6 +100,9 @@
     pub incarnation: Incarnation,
     /// The peer keys; `None` links only to instances that have none either.
     pub keys: Option<KeySet>,
+    /// Stamps messages; `None` sends them without a stamp.
+    #[debug(skip)]
+    pub clock: Option<Arc<dyn StampClock>>,
     /// The protocol versions spoken.
     pub versions: VersionRange,
     /// The bounds.
@@ -119,6 +123,7 @@
             id,
             incarnation,
             keys,
+            clock: None,
             versions: VersionRange::default(),
             limits: PeerLimits::default(),
         }
--- a/crates/figgladed/src/peer_link/thread.rs
+++ b/crates/figgladed/src/peer_link/thread.rs
@@ -13,12 +13,14 @@
 use super::{
     accept::{AcceptedConnection, PeerAcceptor, serve_connection},
     auth::{LinkKeys, PeerIdentity},
+    codec,
+    generated::peer_capnp::stamp,
     link::PeerLinkTask,
     options::{PeerLimits, VersionRange},
     queue::OutboundQueue,
     table::{LinkKey, LinkTable},
     traffic::TrafficCounters,
-    types::{PeerHandler, PeerLinkError},
+    types::{PeerHandler, PeerLinkError, StampClock},
 };
 
 /// The time that closing leaves for what waits to be sent.
@@ -44,6 +46,7 @@
     pub(super) incarnation: Incarnation,
     pub(super) address: SocketAddr,
     pub(super) keys: LinkKeys,
+    pub(super) clock: Option<Arc<dyn StampClock>>,
     pub(super) versions: VersionRange,
     pub(super) limits: PeerLimits,
     pub(super) handler: Arc<dyn PeerHandler>,
@@ -65,6 +68,20 @@
         }
     }
 
+    /// Writes the stamp of a message.
+    pub(super) fn write_stamp(&self, builder: stamp::Builder<'_>) {
+        if let Some(clock) = &self.clock {
+            codec::write_stamp(builder, clock.stamp());
+        }
+    }
+
+    /// Takes over the stamp of a message; one without a stamp holds zeros, which change nothing.
+    pub(super) fn observe_stamp(&self, reader: capnp::Result<stamp::Reader<'_>>) {
+        if let (Some(clock), Ok(reader)) = (&self.clock, reader) {
+            clock.observe(codec::read_stamp(reader));
+        }
+    }
+
     /// Returns whether the transport is closing.
     pub(super) fn is_closing(&self) -> bool {
         *self.stop.borrow() || self.stop.has_changed().is_err()
--- a/crates/figgladed/src/peer_link/types.rs
+++ b/crates/figgladed/src/peer_link/types.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
-use figglade::{Incarnation, InstanceId, border::BoxFuture, peer::PeerFrame};
+use figglade::{
+    Incarnation, InstanceId, border::BoxFuture, controller::event::HybridStamp, peer::PeerFrame,
+};
 
 /// The instance that sent a frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +18,16 @@
     pub address: SocketAddr,
 }
 
+/// Stamps what is sent and takes over the stamps of what is received, so that events of many
+/// instances can be put in the order of cause and effect.
+pub trait StampClock: Send + Sync {
+    /// Stamps a message.
+    fn stamp(&self) -> HybridStamp;
+
+    /// Takes over the stamp of a message.
+    fn observe(&self, stamp: HybridStamp);
+}
+
 /// Takes what other instances send.
 pub trait PeerHandler: Send + Sync {
     /// Takes a frame that needs no answer. Runs on a thread that serves many links, so it hands
--- a/crates/figgladed/src/timeline.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The bounded store of events of this instance.
--- a/crates/figgladed/tests/peer_link_transport.rs
+++ b/crates/figgladed/tests/peer_link_transport.rs
@@ -9,16 +9,17 @@
 
 use bytes::Bytes;
 use figglade::{
-    Incarnation,
+    Incarnation, WallTime,
     border::{BoxFuture, PeerLink},
     peer::{FrameKind, MAX_FRAME_BYTES, PeerFrame},
 };
 use figgladed::{
     peer_link::{
         CallRefusal, NotSentReason, PeerCallError, PeerHandler, PeerLimits, PeerOptions,
-        PeerSender, PeerTraffic, PeerTransport, UnknownReason, VersionRange,
+        PeerSender, PeerTraffic, PeerTransport, StampClock, UnknownReason, VersionRange,
     },
     settings::KeySet,
+    timeline::{TimelineOptions, TimelineRecorder, TimelineStore},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -416,3 +417,34 @@
         assert_eq!(b.next_frame().await.1.payload, number.to_string().as_bytes());
     }
 }
+
+#[tokio::test]
+async fn stamps_travel_with_messages_and_answers() {
+    let timeline = |id: &str, wall: u64| {
+        let options = TimelineOptions {
+            instance: id.parse().unwrap(),
+            incarnation: Incarnation::new(1),
+            max_events: 16,
+            data_dir: None,
+            max_file_bytes: 1 << 16,
+            wall: Arc::new(move || WallTime::from_millis(wall)),
+        };
+        TimelineStore::open(options, slog::Logger::root(slog::Discard, slog::o!())).unwrap()
+    };
+    let (slow, fast) = (timeline("slow", 1_000).recorder(), timeline("fast", 3_000).recorder());
+    let clock = |recorder: &TimelineRecorder| {
+        let clock = Arc::new(recorder.clone());
+        move |options: &mut PeerOptions| options.clock = Some(clock)
+    };
+    let a = TestPeer::start_with("slow", clock(&slow)).await;
+    let b = TestPeer::start_with("fast", clock(&fast)).await;
+    let cause = fast.stamp();
+    b.call(a.address(), "x", 10_000).await.unwrap();
+    let received = slow.stamp();
+    assert!(received > cause, "{received} after the call, {cause} before it");
+    a.call(b.address(), "x", 10_000).await.unwrap();
+    assert!(fast.stamp() > received);
+    let plain = TestPeer::start("plain").await;
+    plain.call(a.address(), "x", 10_000).await.unwrap();
+    assert_eq!(slow.counts().clock_drifts + fast.counts().clock_drifts, 0);
+}
