--- a/crates/figgladed/src/control/gossip.rs
+++ b/crates/figgladed/src/control/gossip.rs
@@ -8,12 +8,12 @@
     controller::{
         directory::{
             AnnounceEffect, DirectoryAction, DirectoryError, DirectoryMessage, DirectorySettings,
-            TargetDirectory, TargetEntry,
+            EffectiveState, TargetDirectory, TargetEntry,
         },
         event::EventKind,
         membership::{
-            LeaderHint, MemberEvent, MemberRecord, MembershipAction, MembershipController,
-            MembershipMessage, MembershipSettings,
+            LeaderHint, MemberEvent, MemberRecord, MemberState, MembershipAction,
+            MembershipController, MembershipMessage, MembershipSettings,
         },
     },
     filter::routing::{LiveTarget, build_route},
@@ -246,7 +246,13 @@
         }
         let detail = format!("instance {} is {}", event.id, event.state);
         info!(self.parts.log, "membership: {}", detail);
-        (self.parts.note)(EventKind::MemberChange, detail);
+        let kind = match event.state {
+            MemberState::Alive => EventKind::MemberJoined,
+            MemberState::Suspect => EventKind::MemberSuspected,
+            MemberState::Dead => EventKind::MemberFailed,
+            MemberState::Left => EventKind::MemberLeft,
+        };
+        (self.parts.note)(kind, detail);
     }
 
     fn run_directory(&self, directory: &TargetDirectory, actions: Vec<DirectoryAction>) {
@@ -269,8 +275,14 @@
         let announcement = entry.announcement();
         let state = entry.effective_state();
         let detail = format!("target {} is {state}", announcement.target_id);
-        (self.parts.note)(EventKind::TargetChange, detail);
-        if !entry.is_live() && announcement.state == figglade::wire::TargetState::Gone {
+        let kind = match state {
+            EffectiveState::Starting | EffectiveState::Ready => EventKind::TargetJoined,
+            EffectiveState::Draining => EventKind::TargetDraining,
+            EffectiveState::Gone | EffectiveState::Displaced => EventKind::TargetGone,
+            EffectiveState::Lapsed => EventKind::TargetLapsed,
+        };
+        (self.parts.note)(kind, detail);
+        if state == EffectiveState::Gone {
             (self.parts.forget_target)(announcement.address);
         }
     }
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -43,7 +43,7 @@
     clock::ProcessClock,
     peer_link::{CallRefusal, PeerHandler, PeerSender},
     tier::{ControlView, IndexBoard},
-    timeline::TimelineStore,
+    timeline::TimelineRecorder,
 };
 
 /// The time between renewals.
@@ -78,7 +78,7 @@
     /// The member at this instance, if it has a disk.
     pub member: Option<MemberHandle>,
     /// The time line.
-    pub timeline: Arc<TimelineStore>,
+    pub timeline: TimelineRecorder,
     /// The log of the process.
     pub log: Logger,
 }
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -7,6 +7,7 @@
     Incarnation, InstanceId,
     border::{LogStore, LogStoreError},
     controller::{
+        event::EventKind,
         membership::MembershipSettings,
         quorum::{MemberRole, MemberSet, MemberSpec, QuorumSettings},
     },
@@ -23,12 +24,12 @@
         PlaneHandler, PlaneParts,
     },
     log_store::{FileLogStore, StoreLimits},
-    metrics::TierMetrics,
+    metrics::{MetricsError, TierMetrics},
     peer_link::{PeerHandle, PeerLinkError, PeerOptions, PeerTransport},
     settings::{InstanceSettings, LoadedKeys, SettingsError},
     target_client::HttpTargetClient,
     tier::{IndexBoard, QueryTier, TierParts},
-    timeline::TimelineStore,
+    timeline::{TimelineError, TimelineOptions, TimelineStore},
 };
 
 /// The folder of the quorum log within the data folder.
@@ -55,6 +56,10 @@
     Store(LogStoreError),
     /// The control plane could not start.
     Control(ControlError),
+    /// The time line could not be opened.
+    Timeline(TimelineError),
+    /// The instruments could not be set up.
+    Metrics(MetricsError),
 }
 
 /// One running instance.
@@ -65,6 +70,7 @@
     member: Option<ControlMember>,
     transport: PeerTransport,
     state: Arc<ControlState>,
+    timeline: TimelineStore,
     tasks: Vec<JoinHandle<()>>,
     log: Logger,
 }
@@ -78,7 +84,8 @@
     state: Arc<ControlState>,
     board: Arc<IndexBoard>,
     client: Arc<HttpTargetClient>,
-    timeline: Arc<TimelineStore>,
+    timeline: TimelineStore,
+    metrics: Arc<TierMetrics>,
     renew_now: Arc<Notify>,
     keys: Arc<LoadedKeys>,
 }
@@ -110,8 +117,9 @@
             tokio::spawn(Arc::clone(&plane).run_renewals()),
             tokio::spawn(Arc::clone(&plane).run_manifests()),
         ];
-        let InstanceBuilder { state, log, .. } = builder;
-        Ok(Self { server, plane, gossip, member, transport, state, tasks, log })
+        let InstanceBuilder { state, timeline, log, .. } = builder;
+        timeline.record(EventKind::InstanceStarted, None, "");
+        Ok(Self { server, plane, gossip, member, transport, state, timeline, tasks, log })
     }
 
     /// Returns where the HTTP interface listens.
@@ -128,6 +136,7 @@
     /// hands over the leadership, tells the fleet and closes.
     pub async fn close(self) {
         info!(self.log, "instance: stopping");
+        self.timeline.record(EventKind::InstanceStopping, None, "");
         self.plane.begin_stop();
         tokio::time::sleep(Duration::from_millis(self.state.settings().drain_wait_ms)).await;
         if let Err(error) = self.server.close().await {
@@ -152,6 +161,8 @@
             }
         }
         self.transport.close().await;
+        self.timeline.record(EventKind::InstanceStopped, None, "");
+        self.timeline.close();
         info!(self.log, "instance: stopped");
     }
 }
@@ -162,12 +173,23 @@
         let clock = ProcessClock::start();
         let zone = settings.instance.availability_zone.clone();
         let state = Arc::new(ControlState::new(settings.instance.id.clone(), zone.clone()));
+        let incarnation = Incarnation::new(clock.wall().as_millis());
+        let timeline = TimelineOptions {
+            instance: settings.instance.id.clone(),
+            incarnation,
+            max_events: settings.limits.timeline_events,
+            data_dir: settings.instance.data_dir.clone(),
+            max_file_bytes: settings.limits.timeline_file_bytes,
+            wall: Arc::new(move || clock.wall()),
+        };
+        let timeline = TimelineStore::open(timeline, log.clone())?;
         Ok(Self {
             clock,
-            incarnation: Incarnation::new(clock.wall().as_millis()),
+            incarnation,
             board: Arc::new(IndexBoard::new(zone, Arc::clone(&state) as _)),
             client: Arc::new(HttpTargetClient::new(settings.limits.max_answer_bytes)),
-            timeline: Arc::new(TimelineStore::default()),
+            timeline,
+            metrics: Arc::new(TierMetrics::new()?),
             renew_now: Arc::new(Notify::new()),
             keys,
             state,
@@ -254,7 +276,7 @@
         http: SocketAddr,
         link: PeerHandle,
     ) -> Arc<GossipDriver> {
-        let timeline = Arc::clone(&self.timeline);
+        let timeline = self.timeline.recorder();
         let client = Arc::clone(&self.client);
         let parts = GossipParts {
             clock: self.clock,
@@ -295,14 +317,14 @@
             gossip,
             board: Arc::clone(&self.board),
             member,
-            timeline: Arc::clone(&self.timeline),
+            timeline: self.timeline.recorder(),
             log: self.log.clone(),
         };
         Arc::new(ControlPlane::new(parts, Arc::clone(&self.renew_now)))
     }
 
     fn start_api(&self, plane: &Arc<ControlPlane>) -> Result<ApiServer, RuntimeError> {
-        let metrics = Arc::new(TierMetrics::default());
+        let metrics = Arc::clone(&self.metrics);
         let parts = TierParts {
             clock: self.clock,
             instance: self.settings.instance.id.clone(),
--- a/crates/figgladed/src/tier/query.rs
+++ b/crates/figgladed/src/tier/query.rs
@@ -181,8 +181,9 @@
         let (verdict, actions) = run.handle_reply(attempt, reply, self.now(), &mut rand::rng());
         match verdict {
             ReplyVerdict::Merged => {}
-            ReplyVerdict::Failed(error) => self.parts.metrics.count_failure(error),
-            ReplyVerdict::Late => self.parts.metrics.count_late_reply(),
+            ReplyVerdict::Failed(error) => self.parts.metrics.count_discard(error),
+            // The loser of a hedge; its target was asked to stop.
+            ReplyVerdict::Late => {}
         }
         actions
     }
@@ -204,7 +205,7 @@
                 FanoutAction::Cancel { attempt, route } => self.cancel_attempt(attempt, &route),
                 FanoutAction::Ejected { target } => {
                     let detail = format!("target {target} was ejected");
-                    self.parts.control.note(EventKind::Ejection, Some(plan.request), detail);
+                    self.parts.control.note(EventKind::TargetEjected, Some(plan.request), detail);
                 }
             }
         }
@@ -217,11 +218,11 @@
         shard: ShardId,
         route: &TargetRoute,
     ) {
-        self.parts.metrics.count_attempt(kind);
+        self.parts.metrics.count_attempts(kind, 1);
         let event = match kind {
             AttemptKind::First => return,
-            AttemptKind::Hedge => EventKind::Hedge,
-            AttemptKind::Retry => EventKind::Retry,
+            AttemptKind::Hedge => EventKind::HedgeSent,
+            AttemptKind::Retry => EventKind::RetrySent,
         };
         let detail = format!("index {} shard {shard} at target {}", plan.index, route.target);
         self.parts.control.note(event, Some(plan.request), detail);
