Keep the log of try in a temporary folder

Cause: the settings check asks a control member for a data folder before try could add one. Change: the folder stands in the embedded settings from the start.

--- a/crates/figglade-cli/src/try_tier.rs
+++ b/crates/figglade-cli/src/try_tier.rs
@@ -78,10 +78,9 @@
 /// Returns settings of a control member on free loopback ports that keeps its log in `folder`.
 fn embedded_settings(folder: &Path) -> Result<InstanceSettings, TryError> {
     let peer = free_address()?;
-    let text = SETTINGS.replace("PEER", &peer.to_string());
-    let mut settings = InstanceSettings::from_text(&text, Path::new("embedded settings"))?;
-    settings.instance.data_dir = Some(folder.to_owned());
-    Ok(settings)
+    let folder = folder.display().to_string();
+    let text = SETTINGS.replace("PEER", &peer.to_string()).replace("FOLDER", &folder);
+    Ok(InstanceSettings::from_text(&text, Path::new("embedded settings"))?)
 }
 
 /// Returns a loopback address whose port is free at the moment.
@@ -94,6 +93,7 @@
 [instance]
 id = "embedded"
 availability_zone = "local"
+data_dir = "FOLDER"
 [listen]
 http = "127.0.0.1:0"
 peer = "PEER"
