--- a/crates/figgladed/src/peer_link/accept.rs
+++ b/crates/figgladed/src/peer_link/accept.rs
@@ -5,7 +5,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc},
     time::{Instant, sleep},
 };
 
@@ -83,13 +83,20 @@
     let guard = StreamGuard::for_acceptor(context.limits.max_calls);
     let (reader, writer) = split_stream(stream, context.traffic.clone(), &guard);
     let network = VatNetwork::new(reader, writer, Side::Server, codec::reader_options());
-    let server = PeerGateServer::new(Rc::clone(&context), Rc::clone(&guard), unproved_permit);
+    let replaced = Arc::new(Notify::new());
+    let server = PeerGateServer::new(
+        Rc::clone(&context),
+        Rc::clone(&guard),
+        unproved_permit,
+        Arc::clone(&replaced),
+    );
     let gate: peer_gate::Client = capnp_rpc::new_client(server);
     let mut system = RpcSystem::new(Box::new(network), Some(gate.client));
     system.set_background_error_handler(|_| {});
     tokio::select! {
         _ = system => {}
         () = watch_connection(&context, &guard) => {}
+        () = replaced.notified() => {}
     }
     if guard.is_proved() {
         context.traffic.connections_closed.add(1);
--- a/crates/figgladed/src/peer_link/gate.rs
+++ b/crates/figgladed/src/peer_link/gate.rs
@@ -1,10 +1,13 @@
 //! What a connection offers before and after the peer proved a key.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use figglade::peer::{FrameKind, MAX_FRAME_BYTES, PeerFrame};
-use tokio::{sync::OwnedSemaphorePermit, time::timeout};
+use tokio::{
+    sync::{Notify, OwnedSemaphorePermit},
+    time::timeout,
+};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
@@ -12,6 +15,7 @@
     codec,
     generated::peer_capnp::{Refusal, peer_gate, peer_session},
     options::VersionRange,
+    roster::RosterEntry,
     stream::StreamGuard,
     thread::LinkContext,
     types::{CallRefusal, PeerSender},
@@ -34,20 +38,26 @@
     guard: Rc<StreamGuard>,
     greeted: RefCell<Option<GreetedPeer>>,
     unproved_permit: RefCell<Option<OwnedSemaphorePermit>>,
+    replaced: Arc<Notify>,
+    entry: RefCell<Option<RosterEntry>>,
 }
 
 impl PeerGateServer {
-    /// Builds what a new connection offers; the permit is given back with the proof.
+    /// Builds what a new connection offers; the permit is given back with the proof. The
+    /// connection has to be closed when `replaced` says so.
     pub(super) fn new(
         context: Rc<LinkContext>,
         guard: Rc<StreamGuard>,
         unproved_permit: OwnedSemaphorePermit,
+        replaced: Arc<Notify>,
     ) -> Self {
         Self {
             context,
             guard,
             greeted: RefCell::new(None),
             unproved_permit: RefCell::new(Some(unproved_permit)),
+            replaced,
+            entry: RefCell::new(None),
         }
     }
 
@@ -59,6 +69,7 @@
     ) {
         let offered = VersionRange { min: params.get_min_version(), max: params.get_version() };
         let Some(version) = self.context.versions.common_with(offered) else {
+            self.context.log_refusal("no common protocol version");
             return results.set_refusal(Refusal::UnsupportedVersion);
         };
         let dialer = params.get_dialer().and_then(codec::read_identity);
@@ -77,11 +88,13 @@
         let GreetedPeer { offered, version, dialer, acceptor } = greeted;
         let record = HandshakeRecord { offered, version, dialer: &dialer, acceptor: &acceptor };
         let Some(key) = self.context.keys.find_proved(&record, proof) else {
-            slog::debug!(self.context.logger, "peer: {} proved no key", dialer.id);
+            self.context.log_refusal(&format!("{} proved no key", dialer.id));
             return results.set_refusal(Refusal::BadProof);
         };
         self.guard.set_proved();
         self.unproved_permit.borrow_mut().take();
+        let entry = self.context.roster.enter(dialer.id.clone(), Arc::clone(&self.replaced));
+        *self.entry.borrow_mut() = Some(entry);
         self.context.traffic.connections_accepted.add(1);
         results.set_proof(&key.prove(ProofSide::Acceptor, &record));
         let PeerIdentity { id, incarnation, address, .. } = dialer;
--- a/crates/figgladed/src/peer_link/mod.rs
+++ b/crates/figgladed/src/peer_link/mod.rs
@@ -15,13 +15,14 @@
 mod link;
 mod options;
 mod queue;
+mod roster;
 mod stream;
 mod table;
 mod thread;
 mod traffic;
 mod types;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, sync::Arc, time::Duration};
 
 use figglade::{
     border::PeerLink,
@@ -38,6 +39,7 @@
     accept::PeerAcceptor,
     auth::LinkKeys,
     queue::{DeliveryMark, OutboundCall},
+    roster::ConnectionRoster,
     table::LinkTable,
     thread::{LinkContext, spawn_link_thread},
     traffic::TrafficCounters,
@@ -98,6 +100,8 @@
             address: options.advertise.unwrap_or(address),
             keys: LinkKeys::new(options.keys.as_ref()),
             clock: options.clock,
+            roster: Arc::new(ConnectionRoster::new(options.limits.max_connections_per_peer)),
+            last_refusal: Cell::new(None),
             versions: options.versions,
             limits: options.limits,
             handler,
--- a/crates/figgladed/src/peer_link/options.rs
+++ b/crates/figgladed/src/peer_link/options.rs
@@ -41,6 +41,8 @@
 pub struct PeerLimits {
     /// Connections accepted at a time.
     pub max_inbound_connections: usize,
+    /// Connections accepted from one peer; a new one takes the place of the oldest.
+    pub max_connections_per_peer: usize,
     /// Accepted connections that have not proved a key yet.
     pub max_unauthenticated: usize,
     /// Links to other instances at a time; a peer has at most two.
@@ -71,6 +73,7 @@
     fn default() -> Self {
         Self {
             max_inbound_connections: 4_096,
+            max_connections_per_peer: 8,
             max_unauthenticated: 128,
             max_links: 4_096,
             max_queued_frames: 256,
--- a/crates/figgladed/src/peer_link/thread.rs
+++ b/crates/figgladed/src/peer_link/thread.rs
@@ -1,13 +1,13 @@
 //! Threads that run links: the RPC system cannot move between threads.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use figglade::{Incarnation, InstanceId};
 use tokio::{
     runtime,
     sync::{mpsc, oneshot, watch},
     task::{JoinSet, LocalSet},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 use super::{
@@ -18,6 +18,7 @@
     link::PeerLinkTask,
     options::{PeerLimits, VersionRange},
     queue::OutboundQueue,
+    roster::ConnectionRoster,
     table::{LinkKey, LinkTable},
     traffic::TrafficCounters,
     types::{PeerHandler, PeerLinkError, StampClock},
@@ -26,6 +27,9 @@
 /// The time that closing leaves for what waits to be sent.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The shortest time between two log lines about refused connections.
+const REFUSAL_LOG_PERIOD: Duration = Duration::from_secs(10);
+
 /// What a thread is asked to do.
 pub(super) enum ThreadCommand {
     /// Runs a new link.
@@ -51,10 +55,13 @@
     pub(super) limits: PeerLimits,
     pub(super) handler: Arc<dyn PeerHandler>,
     pub(super) table: Arc<LinkTable>,
+    pub(super) roster: Arc<ConnectionRoster>,
     pub(super) traffic: Arc<TrafficCounters>,
     pub(super) runtime: runtime::Handle,
     pub(super) stop: watch::Receiver<bool>,
     pub(super) logger: slog::Logger,
+    /// When a refusal was last logged.
+    pub(super) last_refusal: Cell<Option<Instant>>,
 }
 
 impl LinkContext {
@@ -82,6 +89,16 @@
         }
     }
 
+    /// Logs that a peer was refused, seldom enough that strangers cannot flood the log.
+    pub(super) fn log_refusal(&self, reason: &str) {
+        let now = Instant::now();
+        let recent = |last: Instant| now.duration_since(last) < REFUSAL_LOG_PERIOD;
+        if !self.last_refusal.get().is_some_and(recent) {
+            self.last_refusal.set(Some(now));
+            slog::warn!(self.logger, "peer: a connection was refused: {reason}");
+        }
+    }
+
     /// Returns whether the transport is closing.
     pub(super) fn is_closing(&self) -> bool {
         *self.stop.borrow() || self.stop.has_changed().is_err()
