Give up a dead connection after a call without an answer

Frames show within five seconds that a peer takes nothing, but a link that carries calls only kept a dead connection until the system gave up resending, so calls after a healed cut were lost for as long. A call that is not answered in time is now followed by a ping, and the connection is closed when that is not answered either; a slow handler does not close it.

--- a/crates/figgladed/schema/peer.capnp
+++ b/crates/figgladed/schema/peer.capnp
@@ -47,4 +47,7 @@
   # Hands over a frame and waits at most timeoutMs milliseconds for the answer.
   call @1 (kind :UInt16, payload :Data, timeoutMs :UInt32, stamp :Stamp)
        -> (refusal :Refusal, reason :Text, kind :UInt16, payload :Data, stamp :Stamp);
+
+  # Shows that the connection works, also while calls wait for their answers.
+  ping @2 () -> ();
 }
--- a/crates/figgladed/src/peer_link/gate.rs
+++ b/crates/figgladed/src/peer_link/gate.rs
@@ -177,6 +177,14 @@
         Ok(())
     }
 
+    async fn ping(
+        self: Rc<Self>,
+        _params: peer_session::PingParams,
+        _results: peer_session::PingResults,
+    ) -> capnp::Result<()> {
+        Ok(())
+    }
+
     async fn call(
         self: Rc<Self>,
         params: peer_session::CallParams,
--- a/crates/figgladed/src/peer_link/mod.rs
+++ b/crates/figgladed/src/peer_link/mod.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod auth;
 mod codec;
+mod connection;
 mod dial;
 mod gate;
 mod generated;
--- a/crates/figgladed/src/peer_link/options.rs
+++ b/crates/figgladed/src/peer_link/options.rs
@@ -61,6 +61,8 @@
     pub handshake_timeout: Duration,
     /// The time after which a peer that takes nothing is disconnected.
     pub stall_timeout: Duration,
+    /// The time to answer a ping, which follows a call that was not answered in time.
+    pub ping_timeout: Duration,
     /// The time after which an unused connection is closed.
     pub idle_timeout: Duration,
     /// The wait after the first failed connection.
@@ -83,6 +85,7 @@
             max_calls: 256,
             handshake_timeout: Duration::from_secs(1),
             stall_timeout: Duration::from_secs(5),
+            ping_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(60),
             first_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(1),
--- a/crates/figgladed/tests/peer_link_transport.rs
+++ b/crates/figgladed/tests/peer_link_transport.rs
@@ -297,6 +297,25 @@
     assert!(answer.is_ok(), "ended calls make room: {answer:?}");
 }
 
+#[tokio::test]
+async fn dead_connection_is_given_up_after_a_call_without_answer() {
+    let limits = PeerLimits { ping_timeout: Duration::from_secs(1), ..PeerLimits::default() };
+    let a = TestPeer::start_with("a", |options| options.limits = limits).await;
+    let b = TestPeer::start("b").await;
+    let (relay, flows) = start_relay(b.address()).await;
+    assert!(a.call(relay, "x", 10_000).await.is_ok());
+    let lost = Err(PeerCallError::Unknown(UnknownReason::TimedOut));
+    assert_eq!(a.call(relay, "hang", 50).await, lost, "a slow handler");
+    flows.send_replace(false);
+    assert_eq!(a.call(relay, "x", 50).await, lost, "a dead connection");
+    a.wait_for("the connection is given up", |traffic| traffic.connections_stalled >= 1).await;
+    flows.send_replace(true);
+    while a.call(relay, "x", 10_000).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert!(a.transport.traffic().connections_made >= 2);
+}
+
 #[tokio::test]
 async fn calls_tell_not_sent_from_unknown() {
     let a = TestPeer::start("a").await;
--- a/crates/figgladed/tests/settings_file.rs
+++ b/crates/figgladed/tests/settings_file.rs
@@ -154,6 +154,17 @@
     }
 }
 
+#[test]
+fn wide_peer_address_needs_an_advertised_one() {
+    let peer = "peer = \"127.0.0.1:7101\"\n[peers]";
+    let wide =
+        |advertised| format!("peer = \"0.0.0.0:7101\"\nadvertise_peer = \"{advertised}\"\n[peers]");
+    let settings = parse(&FULL.replace(peer, &wide("10.0.0.9:7101"))).unwrap();
+    assert_eq!(settings.listen.advertise_peer, Some("10.0.0.9:7101".parse().unwrap()));
+    let expected = r#"i1.toml: listen.advertise_peer = "0.0.0.0:1": expected IP:PORT with an address and a port that can be connected to"#;
+    assert_eq!(refusal(peer, &wide("0.0.0.0:1")), expected);
+}
+
 #[test]
 fn syntax_errors_name_the_line() {
     let message = parse("[instance]\nid = \n").unwrap_err();
