--- a/crates/figgladed/src/peer_link/options.rs
+++ b/crates/figgladed/src/peer_link/options.rs
@@ -41,6 +41,8 @@
 pub struct PeerLimits {
     /// Connections accepted at a time.
     pub max_inbound_connections: usize,
+    /// Connections accepted from one peer; a new one takes the place of the oldest.
+    pub max_connections_per_peer: usize,
     /// Accepted connections that have not proved a key yet.
     pub max_unauthenticated: usize,
     /// Links to other instances at a time; a peer has at most two.
@@ -59,6 +61,8 @@
     pub handshake_timeout: Duration,
     /// The time after which a peer that takes nothing is disconnected.
     pub stall_timeout: Duration,
+    /// The time to answer a ping, which follows a call that was not answered in time.
+    pub ping_timeout: Duration,
     /// The time after which an unused connection is closed.
     pub idle_timeout: Duration,
     /// The wait after the first failed connection.
@@ -71,6 +75,7 @@
     fn default() -> Self {
         Self {
             max_inbound_connections: 4_096,
+            max_connections_per_peer: 8,
             max_unauthenticated: 128,
             max_links: 4_096,
             max_queued_frames: 256,
@@ -80,6 +85,7 @@
             max_calls: 256,
             handshake_timeout: Duration::from_secs(1),
             stall_timeout: Duration::from_secs(5),
+            ping_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(60),
             first_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(1),
