--- a/crates/figglade/tests/quorum_log/random.rs
+++ b/crates/figglade/tests/quorum_log/random.rs
@@ -101,7 +101,7 @@
         34..42 => change_members(group, &other),
         42..44 if is_running => group.transfer(&id, Some(other)),
         44..50 if is_running => group.compact(&id),
-        50..72 if is_running => drop(group.begin_read(&id)),
+        50..72 => read(group),
         72.. => propose(group),
         _ => {}
     }
@@ -117,20 +117,28 @@
     }
 }
 
+/// Begins a read at every member that leads, also at one that is cut off.
+fn read(group: &mut TestGroup) {
+    let ids: Vec<_> = group.members.keys().cloned().collect();
+    for id in &ids {
+        if group.status(id).is_some() {
+            drop(group.begin_read(id));
+        }
+    }
+}
+
 /// Returns whether the group can lose this disk and still elect a leader.
 fn may_lose_disk(group: &TestGroup, id: &InstanceId) -> bool {
     if group.checker.last_committed().get() == 0 {
         return false;
     }
-    let statuses = group.members.keys().filter_map(|member| group.status(member));
-    let mut sets = statuses.map(|status| status.members).collect::<Vec<_>>();
-    sets.extend(group.checker.committed_members());
-    let founded = |set: &&MemberSet| !set.has_unknown_voter();
+    let stored = group.members.values().filter_map(|member| member.store.members());
+    let sets: Vec<_> = stored.chain(group.checker.committed_members()).collect();
     let survives = |set: &MemberSet| {
         let is_lost = |voter: &&InstanceId| *voter == id || is_replaced(group, set, voter);
         set.voters().filter(is_lost).count() + set.majority() <= set.voters().count()
     };
-    sets.iter().filter(founded).all(survives) && is_founder_kept(group, id)
+    sets.iter().all(survives) && is_founder_kept(group, id)
 }
 
 /// Returns whether another instance of the first list still has its log.
--- a/crates/figglade/tests/quorum_log/store.rs
+++ b/crates/figglade/tests/quorum_log/store.rs
@@ -2,7 +2,10 @@
 
 use figglade::{
     border::{LogStore, LogStoreError},
-    controller::quorum::{HardState, LogEntry, LogIndex, LogSnapshot, StorageId, StoredLog, Term},
+    controller::quorum::{
+        EntryPayload, HardState, LogEntry, LogIndex, LogSnapshot, MemberSet, StorageId, StoredLog,
+        Term,
+    },
 };
 
 /// Makes the storage identity with this number.
@@ -40,6 +43,15 @@
         snapshot.map(|found| (found.last_index, found.last_term)).unwrap_or_default()
     }
 
+    /// Returns the last member set on the disk, committed or not.
+    pub fn members(&self) -> Option<MemberSet> {
+        let sets = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            EntryPayload::Members(set) => Some(set.clone()),
+            _ => None,
+        });
+        sets.or_else(|| self.snapshot.as_ref().map(|snapshot| snapshot.members.clone()))
+    }
+
     /// Returns the entry at an index that the snapshot does not cover.
     pub fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
         self.entries.iter().find(|entry| entry.index == index)
