--- a/crates/figglade/src/controller/quorum/members.rs
+++ b/crates/figglade/src/controller/quorum/members.rs
@@ -40,11 +40,7 @@
     /// that lost its disk looks like one that never had any, and together with one that never
     /// started it could otherwise found the group a second time.
     pub(super) fn is_elected_by(&self, votes: &BTreeMap<InstanceId, StorageId>) -> bool {
-        let is_counted = |id: &&InstanceId| {
-            let recorded = self.storage_of(id);
-            votes.get(*id).is_some_and(|storage| recorded.is_none_or(|known| known == *storage))
-        };
-        let counted = self.voters().filter(is_counted).count();
+        let counted = self.voters().filter(|id| votes.contains_key(*id)).count();
         let needed = if self.has_unknown_voter() { self.voters().count() } else { self.majority() };
         counted > 0 && counted >= needed
     }
--- a/crates/figglade/src/controller/quorum/replication.rs
+++ b/crates/figglade/src/controller/quorum/replication.rs
@@ -210,7 +210,8 @@
         }
     }
 
-    /// Returns whether the answer comes from a member with the recorded storage.
+    /// Returns whether the answer comes from a member with the recorded storage: an emptied disk
+    /// has forgotten its votes and its entries, so neither counts.
     fn is_answer_counted(&mut self, from: &InstanceId, message: &QuorumMessage) -> bool {
         let recorded = self.members().storage_of(from);
         let is_replaced = recorded.is_some_and(|known| known != message.storage);
--- a/crates/figglade/tests/quorum_log/directed.rs
+++ b/crates/figglade/tests/quorum_log/directed.rs
@@ -6,7 +6,7 @@
     border::LogStore,
     controller::quorum::{
         MAX_COMMAND_BYTES, MemberChange, MemberChangeError, MessageBody, ProposeError,
-        QuorumMessage, QuorumRole, Term,
+        QuorumMessage, QuorumRole, Term, VoteRequest,
     },
     peer::{decode_payload, encode_payload},
 };
@@ -151,6 +151,60 @@
     }
 }
 
+/// Returns a message as a member sends it in its present term.
+fn message_of(group: &TestGroup, id: &InstanceId, term: Term, body: MessageBody) -> QuorumMessage {
+    let storage = group.member(id).store.storage_id();
+    QuorumMessage { term, peer: member_peer(id), storage, expected_storage: None, body }
+}
+
+#[test]
+fn a_voter_that_hears_the_leader_ignores_votes_also_after_a_restart() {
+    for is_restarted in [false, true] {
+        let mut group = TestGroup::new(3, 0, 11);
+        let leader = group.run_until_led();
+        let [candidate, voter] = others(&group, &leader).try_into().expect("two others");
+        group.run_for(ELECTION_TIMEOUT_MS);
+        let status = group.status(&voter).expect("running");
+        if is_restarted {
+            group.restart(&voter);
+        }
+        let next_term = Term::new(status.term.get() + 1);
+        let request = VoteRequest {
+            next_term,
+            last_index: status.last,
+            last_term: status.term,
+            is_transfer: false,
+        };
+        let message = message_of(&group, &candidate, next_term, MessageBody::Vote(request));
+        group.set_isolated(&leader, true);
+        group.post(&candidate, &voter, &message);
+        group.run_for(ELECTION_TIMEOUT_MS / 4);
+        let stored = group.member(&voter).store.stored().hard_state;
+        assert_eq!(stored.term, status.term, "the lease of the leader rests on this");
+    }
+}
+
+#[test]
+fn a_leader_that_hands_over_gives_up_its_lease() {
+    let mut group = TestGroup::new(3, 0, 12);
+    let leader = group.run_until_led();
+    group.commit(&leader);
+    group.run_for(ELECTION_TIMEOUT_MS);
+    let [target, other] = others(&group, &leader).try_into().expect("two others");
+    for follower in [&target, &other] {
+        group.cut.insert((follower.clone(), leader.clone()));
+    }
+    group.transfer(&leader, Some(target.clone()));
+    group.run_for(ELECTION_TIMEOUT_MS / 4);
+    assert_eq!(group.leader(), Some(target.clone()));
+    group.commit(&target);
+    let old = group.member(&leader).node.as_ref().expect("running");
+    assert_eq!(old.status().role, QuorumRole::Leader, "it cannot know better yet");
+    assert!(!old.has_lease(group.local_now(&leader)));
+    let ticket = group.begin_read(&leader).expect("it still believes that it leads");
+    assert!(!group.member(&leader).ready_reads.contains_key(&ticket));
+}
+
 #[test]
 fn a_split_vote_ends_in_a_later_term() {
     let mut group = TestGroup::new(4, 0, 4);
@@ -158,13 +212,7 @@
     let term = group.status(&leader).expect("running").term;
     let rivals = others(&group, &leader);
     for rival in &rivals[..2] {
-        let message = QuorumMessage {
-            term,
-            peer: member_peer(&leader),
-            storage: group.member(&leader).store.storage_id(),
-            expected_storage: None,
-            body: MessageBody::TimeoutNow,
-        };
+        let message = message_of(&group, &leader, term, MessageBody::TimeoutNow);
         group.post(&leader, rival, &message);
     }
     group.crash(&rivals[2]);
@@ -205,12 +253,16 @@
     group.run_for(ELECTION_TIMEOUT_MS);
     for id in group.members.keys().cloned().collect::<Vec<_>>() {
         group.compact(&id);
-        group.restart(&id);
     }
+    group.restart_all(8);
     let leader = group.run_until_led();
     group.commit_change(&leader, add_learner(&learner));
-    let early = group.change(&leader, MemberChange::Promote { id: learner.clone() });
-    assert!(early.is_err(), "a learner without the log is not promoted");
+    group.run_until("the first answer", |group| {
+        let status = group.status(&leader).expect("running");
+        status.members.storage_of(&learner).is_some() && status.pending_change.is_none()
+    });
+    let refusal = group.change(&leader, MemberChange::Promote { id: learner.clone() });
+    assert_eq!(refusal, Err(MemberChangeError::NotCaughtUp { id: learner.clone() }));
     for _ in 0..3 {
         group.run_for(ELECTION_TIMEOUT_MS / 10);
         assert_eq!(group.restore_count, 0, "the snapshot takes several parts");
@@ -257,6 +309,21 @@
     assert_eq!(group.change(&leader, remove(&leader)), Err(MemberChangeError::LastVoter));
 }
 
+#[test]
+fn a_new_leader_changes_no_members_before_its_first_commitment() {
+    let mut group = TestGroup::new(3, 0, 13);
+    let leader = group.run_until_led();
+    let [target, other] = others(&group, &leader).try_into().expect("two others");
+    group.commit(&leader);
+    group.run_for(ELECTION_TIMEOUT_MS);
+    group.transfer(&leader, Some(target.clone()));
+    group.run_until("the hand-over", |group| group.leader().as_ref() == Some(&target));
+    let refusal = group.change(&target, MemberChange::Remove { id: other.clone() });
+    assert_eq!(refusal, Err(MemberChangeError::TermNotCommitted));
+    group.run_until_led();
+    group.commit_change(&target, MemberChange::Remove { id: other });
+}
+
 #[test]
 fn a_voter_whose_removal_leaves_no_reachable_quorum_stays() {
     let mut group = TestGroup::new(3, 0, 9);
--- a/crates/figglade/tests/quorum_log/group.rs
+++ b/crates/figglade/tests/quorum_log/group.rs
@@ -72,6 +72,7 @@
     /// The directed pairs between which nothing arrives.
     pub cut: BTreeSet<(InstanceId, InstanceId)>,
     pub snapshot_bytes: usize,
+    max_append_entries: usize,
     pub restore_count: usize,
     pub lost_disk_count: u64,
     initial: MemberSet,
@@ -108,6 +109,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             cut: BTreeSet::new(),
             snapshot_bytes: 64,
+            max_append_entries: 8,
             restore_count: 0,
             lost_disk_count: 0,
             initial: MemberSet { members },
@@ -153,7 +155,7 @@
     /// Starts a process, with a clock of its own, from what is on its disk.
     pub fn restart(&mut self, id: &InstanceId) {
         let clock_ppm = 1_000_000 - MAX_DRIFT_PPM + self.rng.random_range(0..=2 * MAX_DRIFT_PPM);
-        let now = self.now;
+        let (now, max_append_entries) = (self.now, self.max_append_entries);
         let member = self.members.get_mut(id).expect("a member");
         let stored = member.store.load().expect("the disk is sound");
         member.started = now;
@@ -170,7 +172,7 @@
             election_timeout: Duration::from_millis(ELECTION_TIMEOUT_MS),
             heartbeat_period: Duration::from_millis(20),
             lease_margin: Duration::from_millis(10),
-            max_append_entries: 8,
+            max_append_entries,
             max_append_bytes: 4 << 10,
         };
         let node =
@@ -178,6 +180,14 @@
         member.node = Some(node);
     }
 
+    /// Restarts every process with another limit on the entries of a message.
+    pub fn restart_all(&mut self, max_append_entries: usize) {
+        self.max_append_entries = max_append_entries;
+        for id in self.members.keys().cloned().collect::<Vec<_>>() {
+            self.restart(&id);
+        }
+    }
+
     pub fn member(&self, id: &InstanceId) -> &TestMember {
         &self.members[id]
     }
--- a/crates/figglade/tests/quorum_log/main.rs
+++ b/crates/figglade/tests/quorum_log/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the quorum log over simulated members, clocks, disks and network.
 
 mod directed;
+mod explore;
 mod group;
 mod invariants;
 mod random;
--- a/crates/figglade/tests/quorum_log/random.rs
+++ b/crates/figglade/tests/quorum_log/random.rs
@@ -47,6 +47,8 @@
     for seed in 0..SCHEDULES {
         let mut group = TestGroup::new(voters, spares, seed);
         group.snapshot_bytes = 700 << 10;
+        let max_append_entries = if seed % 2 == 0 { 1 } else { 8 };
+        group.restart_all(max_append_entries);
         group.faults = draw_faults(&mut group);
         for _ in 0..EVENTS {
             group.step();
