Split the log store into smaller modules

Opening a folder, its single-value files and the synced mark shared one long module. Each now has a module of its own, with no change of behaviour.

--- a/crates/figgladed/src/log_store/mod.rs
+++ b/crates/figgladed/src/log_store/mod.rs
@@ -11,8 +11,10 @@
 //! incomplete frame behind them counts as a torn tail, which is cut off and reported.
 
 mod files;
+mod folder;
 mod recovery;
 mod segment;
+mod synced_mark;
 
 use std::{fs::File, path::Path};
 
@@ -23,12 +25,16 @@
 
 use self::{
     files::{FileKind, commit_file, refusal, stage_file},
+    folder::{
+        StoreFolder, StoredSnapshot, encode_content, read_hard_state, read_snapshot,
+        write_hard_state,
+    },
     recovery::{
-        RecoveredLog, StoreFolder, StoredSnapshot, SyncedMark, encode_content, lock_folder,
-        prepare_folder, read_entries, read_hard_state, read_snapshot, recover_log,
-        remove_segments_before, write_hard_state,
+        RecoveredLog, lock_folder, prepare_folder, read_entries, recover_log,
+        remove_segments_before,
     },
     segment::{SegmentWriter, WriteError, split_batches},
+    synced_mark::SyncedMark,
 };
 
 pub use self::recovery::{RecoveryReport, TornTail};
--- a/crates/figgladed/src/log_store/recovery.rs
+++ b/crates/figgladed/src/log_store/recovery.rs
@@ -1,83 +1,28 @@
 //! Opening a data folder: first use, checks of every file, and the torn tail.
 
 use std::{
-    collections::BTreeSet,
-    fs::{self, File, OpenOptions},
-    os::unix::fs::FileExt,
+    fs::{self, File},
     path::{Path, PathBuf},
 };
 
 use figglade::{
     border::LogStoreError,
-    controller::quorum::{HardState, LogEntry, LogIndex, LogSnapshot, StorageId},
-    peer::{decode_payload, encode_payload},
+    controller::quorum::{HardState, LogEntry, LogIndex, StorageId},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use uuid::Uuid;
 
 use super::{
-    files::{
-        FileKind, SEAL_BYTES, corrupt, io_error, is_staged, read_file, read_u64, refusal,
-        replace_file, seal, sync_folder, unseal,
-    },
-    segment::{
-        SEGMENT_HEADER_BYTES, SegmentScan, SegmentWriter, scan_segment, segment_number,
-        segment_path,
+    files::{FileKind, corrupt, io_error, is_staged, read_file, refusal, sync_folder, unseal},
+    folder::{
+        StoreFolder, decode_content, list_files, list_segments, read_hard_state, read_required,
+        read_snapshot, write_hard_state, write_sealed,
     },
+    segment::{SEGMENT_HEADER_BYTES, SegmentScan, SegmentWriter, scan_segment, segment_path},
+    synced_mark::{create_mark, read_mark},
 };
 
 /// The number of the first segment of a folder.
 const FIRST_SEGMENT: u64 = 1;
-/// The bytes of a synced mark besides its seal.
-const MARK_BYTES: usize = 16;
-
-/// The files of a data folder.
-#[derive(Clone, Debug)]
-pub(super) struct StoreFolder {
-    /// The folder.
-    path: PathBuf,
-}
-
-impl StoreFolder {
-    /// Names the folder.
-    pub(super) fn new(path: &Path) -> Self {
-        Self { path: path.to_owned() }
-    }
-
-    /// Returns the path of the folder.
-    pub(super) fn path(&self) -> &Path {
-        &self.path
-    }
-
-    /// Returns the path of the identity.
-    fn identity(&self) -> PathBuf {
-        self.path.join("identity")
-    }
-
-    /// Returns the path of the term and vote.
-    pub(super) fn hard_state(&self) -> PathBuf {
-        self.path.join("hard_state")
-    }
-
-    /// Returns the path of the snapshot.
-    pub(super) fn snapshot(&self) -> PathBuf {
-        self.path.join("snapshot")
-    }
-
-    /// Returns the path of the synced mark.
-    fn synced_mark(&self) -> PathBuf {
-        self.path.join("synced")
-    }
-}
-
-/// A snapshot as it stands in its file.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct StoredSnapshot {
-    /// The first segment whose entries follow the snapshot.
-    pub(super) first_segment: u64,
-    /// The snapshot.
-    pub(super) snapshot: LogSnapshot,
-}
 
 /// A torn tail that was cut off: an append that the store never confirmed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -118,54 +63,6 @@
     pub(super) torn_tail: Option<TornTail>,
 }
 
-/// The length of the last segment that is known to be synced. It is written after each sync and not
-/// synced itself, so it may lag behind, never lead.
-#[derive(Debug)]
-pub(super) struct SyncedMark {
-    /// The open file.
-    file: File,
-    /// Its path.
-    path: PathBuf,
-}
-
-impl SyncedMark {
-    /// Opens the mark of a folder.
-    pub(super) fn open(folder: &StoreFolder) -> Result<Self, LogStoreError> {
-        let path = folder.synced_mark();
-        let file = OpenOptions::new()
-            .write(true)
-            .open(&path)
-            .map_err(|error| io_error("open", &path, &error))?;
-        Ok(Self { file, path })
-    }
-
-    /// Notes how much of the last segment is synced.
-    pub(super) fn note(&self, segment: &SegmentWriter) -> Result<(), LogStoreError> {
-        let bytes = encode_mark(segment.number, segment.length);
-        let written = self.file.write_all_at(&bytes, 0);
-        written.map_err(|error| io_error("write", &self.path, &error))
-    }
-}
-
-/// Encodes a synced mark.
-fn encode_mark(number: u64, length: u64) -> Vec<u8> {
-    let mut content = [0; MARK_BYTES];
-    content[..8].copy_from_slice(&number.to_le_bytes());
-    content[8..].copy_from_slice(&length.to_le_bytes());
-    seal(FileKind::SyncedMark, &content)
-}
-
-/// Reads the synced mark: the segment and its synced length.
-fn read_mark(folder: &StoreFolder) -> Result<(u64, u64), LogStoreError> {
-    let path = folder.synced_mark();
-    let bytes = read_required(&path)?;
-    let content = unseal(FileKind::SyncedMark, &path, &bytes)?;
-    if content.len() != MARK_BYTES {
-        return Err(corrupt(&path, SEAL_BYTES as u64, "the mark has another length"));
-    }
-    Ok((read_u64(content, 0), read_u64(content, 8)))
-}
-
 /// Takes the lock of the folder, which the system drops when the process ends.
 pub(super) fn lock_folder(folder: &StoreFolder) -> Result<File, LogStoreError> {
     fs::create_dir_all(folder.path()).map_err(|error| io_error("create", folder.path(), &error))?;
@@ -200,7 +97,7 @@
 fn create_files(folder: &StoreFolder) -> Result<StorageId, LogStoreError> {
     write_hard_state(folder, &HardState::default())?;
     let segment = SegmentWriter::create(folder.path(), FIRST_SEGMENT, &[])?;
-    replace_file(&folder.synced_mark(), &encode_mark(segment.number, segment.length))?;
+    create_mark(folder, &segment)?;
     let identity = StorageId::from(Uuid::new_v4());
     write_sealed(FileKind::Identity, &folder.identity(), &identity)?;
     Ok(identity)
@@ -356,68 +253,3 @@
     let distance = index.get().checked_sub(snapshot_index.get() + 1)?;
     usize::try_from(distance).ok()
 }
-
-/// Reads the term and vote.
-pub(super) fn read_hard_state(folder: &StoreFolder) -> Result<HardState, LogStoreError> {
-    let path = folder.hard_state();
-    let bytes = read_required(&path)?;
-    decode_content(&path, unseal(FileKind::HardState, &path, &bytes)?)
-}
-
-/// Replaces the term and vote.
-pub(super) fn write_hard_state(
-    folder: &StoreFolder,
-    state: &HardState,
-) -> Result<(), LogStoreError> {
-    write_sealed(FileKind::HardState, &folder.hard_state(), state)
-}
-
-/// Reads the snapshot, if there is one.
-pub(super) fn read_snapshot(folder: &StoreFolder) -> Result<Option<StoredSnapshot>, LogStoreError> {
-    let path = folder.snapshot();
-    let Some(bytes) = read_file(&path)? else { return Ok(None) };
-    decode_content(&path, unseal(FileKind::Snapshot, &path, &bytes)?).map(Some)
-}
-
-/// Encodes a value for a sealed file.
-pub(super) fn encode_content<T: Serialize>(
-    kind: FileKind,
-    path: &Path,
-    value: &T,
-) -> Result<Vec<u8>, LogStoreError> {
-    let content =
-        encode_payload(value).map_err(|error| refusal("encode", path, error.to_string()))?;
-    Ok(seal(kind, &content))
-}
-
-/// Replaces a sealed file.
-fn write_sealed<T: Serialize>(kind: FileKind, path: &Path, value: &T) -> Result<(), LogStoreError> {
-    replace_file(path, &encode_content(kind, path, value)?)
-}
-
-/// Decodes the content of a sealed file.
-fn decode_content<T: DeserializeOwned>(path: &Path, content: &[u8]) -> Result<T, LogStoreError> {
-    decode_payload(content).map_err(|error| corrupt(path, SEAL_BYTES as u64, error.to_string()))
-}
-
-/// Reads a file that must exist.
-fn read_required(path: &Path) -> Result<Vec<u8>, LogStoreError> {
-    read_file(path)?.ok_or_else(|| corrupt(path, 0, "the file is missing"))
-}
-
-/// Lists the numbers of the segments.
-fn list_segments(folder: &StoreFolder) -> Result<BTreeSet<u64>, LogStoreError> {
-    let files = list_files(folder)?;
-    let names = files.iter().filter_map(|path| path.file_name()?.to_str());
-    Ok(names.filter_map(segment_number).collect())
-}
-
-/// Lists the files of the folder.
-fn list_files(folder: &StoreFolder) -> Result<Vec<PathBuf>, LogStoreError> {
-    let failed = |error: std::io::Error| io_error("list", folder.path(), &error);
-    let mut files = Vec::new();
-    for entry in fs::read_dir(folder.path()).map_err(failed)? {
-        files.push(entry.map_err(failed)?.path());
-    }
-    Ok(files)
-}
