--- a/crates/figglade/src/controller/ledger/mod.rs
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -14,13 +14,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use derive_more::{Display, Error, From};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     RequestId, WallTime,
     controller::{fleet::FleetConfig, quorum::LogIndex},
-    peer::{CodecError, decode_payload, encode_payload},
 };
 
 use self::{
@@ -106,18 +105,27 @@
 }
 
 /// The reason a state could not be encoded or decoded.
-#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum StateError {
     /// A newer release encoded the state.
     #[display("state version {version} is newer than {STATE_VERSION}")]
-    #[from(ignore)]
     TooNew {
         /// The version found.
         version: u16,
     },
-    /// The bytes are no state.
-    #[display("{_0}")]
-    Codec(CodecError),
+    /// The bytes are no state, or a value cannot be encoded.
+    #[display("ledger state: {reason}")]
+    Codec {
+        /// What the codec said.
+        reason: String,
+    },
+}
+
+impl StateError {
+    /// Takes over what the codec said.
+    fn from_codec(error: impl std::error::Error) -> Self {
+        Self::Codec { reason: error.to_string() }
+    }
 }
 
 /// The state that every member derives from the log.
@@ -138,15 +146,6 @@
     stopped: Option<LogIndex>,
 }
 
-/// The state as it stands in a snapshot.
-#[derive(Serialize, Deserialize)]
-struct StateEnvelope {
-    /// The version of the state.
-    version: u16,
-    /// The encoded state.
-    state: Bytes,
-}
-
 impl Ledger {
     /// Applies the command of the entry at `index`.
     ///
@@ -210,14 +209,15 @@
         }
     }
 
-    /// Encodes the state for a snapshot.
+    /// Encodes the state for a snapshot, behind its version.
     ///
     /// # Errors
     ///
     /// Fails when the codec refuses a value.
     pub fn encode_state(&self) -> Result<Bytes, StateError> {
-        let state = encode_payload(self)?;
-        Ok(encode_payload(&StateEnvelope { version: STATE_VERSION, state })?)
+        let mut state = STATE_VERSION.to_be_bytes().to_vec();
+        rmp_serde::encode::write_named(&mut state, self).map_err(StateError::from_codec)?;
+        Ok(Bytes::from(state))
     }
 
     /// Decodes the state of a snapshot.
@@ -226,11 +226,14 @@
     ///
     /// Fails when the state is damaged or was made by a newer release.
     pub fn decode_state(bytes: &[u8]) -> Result<Self, StateError> {
-        let envelope: StateEnvelope = decode_payload(bytes)?;
-        if envelope.version > STATE_VERSION {
-            return Err(StateError::TooNew { version: envelope.version });
+        let Some((version, state)) = bytes.split_first_chunk() else {
+            return Err(StateError::Codec { reason: "the version is missing".to_owned() });
+        };
+        let version = u16::from_be_bytes(*version);
+        if version > STATE_VERSION {
+            return Err(StateError::TooNew { version });
         }
-        Ok(decode_payload(&envelope.state)?)
+        rmp_serde::from_slice(state).map_err(StateError::from_codec)
     }
 
     /// Returns the last index applied.
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -30,10 +30,9 @@
 struct NewerEnvelope {
     version: u16,
     command: Bytes,
-    state: Bytes,
 }
 
-/// Builds a command that does nothing.
+/// Builds a holder set.
 fn holders(epoch: u64, names: &[&str]) -> LedgerCommand {
     let holders = names.iter().map(|name| name.parse().unwrap()).collect();
     LedgerCommand::SetHolders(HolderSet { epoch, holders })
@@ -41,12 +40,10 @@
 
 #[test]
 fn unreadable_command_stops_the_ledger() {
-    let newer =
-        NewerEnvelope { version: COMMAND_VERSION + 1, command: Bytes::new(), state: Bytes::new() };
+    let newer = NewerEnvelope { version: COMMAND_VERSION + 1, command: Bytes::new() };
     let unknown = NewerEnvelope {
         version: COMMAND_VERSION,
         command: encode_payload(&json!({"SplitGroup": {"group": 1}})).unwrap(),
-        state: Bytes::new(),
     };
     let commands = [
         encode_payload(&newer).unwrap(),
@@ -81,12 +78,14 @@
 
 #[test]
 fn state_of_a_newer_release_is_refused() {
-    let newer =
-        NewerEnvelope { version: STATE_VERSION + 1, command: Bytes::new(), state: Bytes::new() };
-    let error = Ledger::decode_state(&encode_payload(&newer).unwrap()).unwrap_err();
+    let mut newer = Ledger::default().encode_state().unwrap().to_vec();
+    newer[1] += 1;
+    let error = Ledger::decode_state(&newer).unwrap_err();
     assert_eq!(error, StateError::TooNew { version: STATE_VERSION + 1 });
     let state = Ledger::default().encode_state().unwrap();
-    assert!(Ledger::decode_state(&state[..state.len() - 1]).is_err());
+    for end in 0..state.len() {
+        assert!(matches!(Ledger::decode_state(&state[..end]), Err(StateError::Codec { .. })));
+    }
 }
 
 #[test]
