--- a/crates/figglade-testkit/src/lib.rs
+++ b/crates/figglade-testkit/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Tools for testing figglade from outside: a stand-in target, a fault-injecting proxy and a
+//! harness for real processes.
+//!
+//! Nothing here decides anything for the tier; the crate only speaks its published interfaces.
+
+pub mod client;
+pub mod harness;
+pub mod proxy;
+pub mod stand_in;
+
+pub use crate::{
+    client::{TestClient, TestClientError, TestReply},
+    harness::{
+        HarnessError, HarnessOptions, ManagedProcess, ProcessHarness, StandInAddress,
+        StandInProcess,
+    },
+    proxy::{FaultProxy, ProxyDirection, ProxyFault},
+    stand_in::{
+        AnswerFault, ControlChange, FleetSettings, IndexLayout, RanAction, RegisterData,
+        ResetPoint, StandIn, StandInControl, StandInError, StandInFaults, StandInSettings,
+        StandInState,
+    },
+};
--- a/crates/figglade/src/controller/share.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Shares of the connection caps of targets under leases.
