Tell the refusal of a copy from the word of the claim's holder

FinishClaim names instance and incarnation, which two copies of a request at one instance share: the refusal of the second copy was accepted as the end of the first, and the id was recorded as not run while it ran. RefuseClaim is now a command of its own that never ends an open claim. A new test brings the case about, and the random schedules refuse as well; all 37 ledger tests pass.

--- a/crates/figglade/src/controller/ledger/claim_table.rs
+++ b/crates/figglade/src/controller/ledger/claim_table.rs
@@ -11,7 +11,7 @@
 use crate::{
     RequestId, WallTime,
     border::{ActionRecord, BodyDigest, ClaimDecision, ClaimRequest},
-    controller::ledger::{ClaimAbandon, ClaimFinish},
+    controller::ledger::{ClaimAbandon, ClaimFinish, ClaimRefusal},
     wire::ActionOutcome,
 };
 
@@ -167,7 +167,7 @@
         }
     }
 
-    /// Records that a request nobody claimed will never run.
+    /// Takes the word of an instance that holds no claim: only a refusal counts.
     fn refuse_unclaimed(&mut self, finish: ClaimFinish) -> FinishReply {
         if !self.is_within_window(finish.request) {
             return FinishReply::OutsideWindow;
@@ -175,13 +175,46 @@
         if finish.record.outcome != ActionOutcome::NotRun {
             return FinishReply::NotClaimed;
         }
-        if !self.has_room_for_refusal(finish.request) {
+        self.insert_refusal(finish.request, finish.digest, finish.record)
+    }
+
+    /// Records that a request nobody claimed will never run.
+    pub(super) fn refuse(&mut self, refusal: ClaimRefusal) -> FinishReply {
+        if let Some(entry) = self.entries.get(&refusal.request) {
+            return match &entry.status {
+                _ if entry.digest != refusal.digest => FinishReply::BodyMismatch,
+                ClaimStatus::Open(_) => FinishReply::NotHolder,
+                ClaimStatus::Ended(record) if record.outcome == ActionOutcome::NotRun => {
+                    FinishReply::Recorded
+                }
+                ClaimStatus::Ended(record) => FinishReply::EndedBefore(record.clone()),
+            };
+        }
+        if !self.is_within_window(refusal.request) {
+            return FinishReply::OutsideWindow;
+        }
+        let record = ActionRecord {
+            outcome: ActionOutcome::NotRun,
+            result: None,
+            reason: Some(refusal.reason),
+        };
+        self.insert_refusal(refusal.request, refusal.digest, record)
+    }
+
+    /// Adds the record of a request that is not in the table.
+    fn insert_refusal(
+        &mut self,
+        request: RequestId,
+        digest: BodyDigest,
+        record: ActionRecord,
+    ) -> FinishReply {
+        if !self.has_room_for_refusal(request) {
             return FinishReply::TableFull;
         }
-        let record = ActionRecord { outcome: ActionOutcome::NotRun, result: None, reason: None };
-        let entry = ClaimEntry { digest: finish.digest, status: ClaimStatus::Ended(record) };
-        self.entries.insert(finish.request, entry);
-        self.end(finish.request, finish.record);
+        let record = self.bound_record(record);
+        self.result_bytes += result_length(&record);
+        let entry = ClaimEntry { digest, status: ClaimStatus::Ended(record) };
+        self.entries.insert(request, entry);
         FinishReply::Recorded
     }
 
--- a/crates/figglade/src/controller/ledger/claims.rs
+++ b/crates/figglade/src/controller/ledger/claims.rs
@@ -31,14 +31,14 @@
     TableFull,
 }
 
-/// The answer to the end of a claim.
+/// The answer to the end or the refusal of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FinishReply {
     /// The end is recorded, now or by an earlier sending.
     Recorded,
     /// The action ended before in another way.
     EndedBefore(ActionRecord),
-    /// The claim belongs to another instance or incarnation.
+    /// The claim is open and belongs to another instance, incarnation or copy of the request.
     NotHolder,
     /// Nobody claimed the action, and the record is no refusal.
     NotClaimed,
--- a/crates/figglade/src/controller/ledger/command.rs
+++ b/crates/figglade/src/controller/ledger/command.rs
@@ -26,8 +26,10 @@
     PutConfig(ConfigPut),
     /// Claims the right to run an action.
     BeginClaim(ClaimRequest),
-    /// Records the end of an action or its refusal.
+    /// Records the end of an action as its holder saw it.
     FinishClaim(ClaimFinish),
+    /// Records that an action nobody claimed will never run.
+    RefuseClaim(ClaimRefusal),
     /// Ends the claims of earlier incarnations of an instance as unknown.
     AbandonClaims(ClaimAbandon),
     /// Records what targets announced of snapshots.
@@ -64,6 +66,20 @@
     pub wall: WallTime,
 }
 
+/// The refusal of an action at an instance that does not hold its claim. Another copy of the request
+/// may hold it at the same instance, so a refusal never counts as the holder's word.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRefusal {
+    /// The request.
+    pub request: RequestId,
+    /// The digest of its body.
+    pub digest: BodyDigest,
+    /// Why it was refused.
+    pub reason: String,
+    /// The wall time at the instance.
+    pub wall: WallTime,
+}
+
 /// The end of the claims that earlier incarnations of an instance left open.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimAbandon {
@@ -149,6 +165,7 @@
             Self::PutConfig(put) => Some(put.wall),
             Self::BeginClaim(claim) => Some(claim.wall),
             Self::FinishClaim(finish) => Some(finish.wall),
+            Self::RefuseClaim(refusal) => Some(refusal.wall),
             Self::AbandonClaims(abandon) => Some(abandon.wall),
             Self::RecordManifests(_) | Self::SetHolders(_) => None,
         }
--- a/crates/figglade/src/controller/ledger/mod.rs
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -34,8 +34,8 @@
         MAX_CLAIMS, MAX_FUTURE_MS, MAX_FUTURE_REFUSALS, MAX_RECORD_REASON_BYTES, MAX_RESULT_BYTES,
     },
     command::{
-        COMMAND_VERSION, ClaimAbandon, ClaimFinish, CommandError, ConfigPut, HolderSet,
-        LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
+        COMMAND_VERSION, ClaimAbandon, ClaimFinish, ClaimRefusal, CommandError, ConfigPut,
+        HolderSet, LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
     },
     config::{ConfigChange, ConfigOutcome, MAX_HISTORY, MAX_REMEMBERED_CHANGES},
     manifest_set::ManifestSet,
@@ -58,7 +58,7 @@
     Config(ConfigOutcome),
     /// To a claim.
     Claim(ClaimReply),
-    /// To the end of a claim.
+    /// To the end or the refusal of a claim.
     Finish(FinishReply),
     /// To abandoned claims.
     Abandoned {
@@ -181,6 +181,7 @@
                 LedgerReply::Claim(self.claims.begin(claim, limits))
             }
             LedgerCommand::FinishClaim(finish) => LedgerReply::Finish(self.claims.finish(finish)),
+            LedgerCommand::RefuseClaim(refusal) => LedgerReply::Finish(self.claims.refuse(refusal)),
             LedgerCommand::AbandonClaims(abandon) => {
                 LedgerReply::Abandoned { claims: self.claims.abandon(&abandon) }
             }
--- a/crates/figglade/tests/ledger_claims.rs
+++ b/crates/figglade/tests/ledger_claims.rs
@@ -75,6 +75,24 @@
     assert_eq!(ledger.begin(id, "b", ("i2", 1), 5), ClaimDecision::BodyMismatch);
 }
 
+#[test]
+fn refusal_of_a_second_copy_leaves_the_claim_open() {
+    let mut ledger = TestLedger::default();
+    let (id, ended, fresh) = (request(0, 1), request(0, 2), request(0, 3));
+    let done = record(Done, Some("7"));
+    ledger.begin(id, "a", ("i1", 1), 0);
+    ledger.begin(ended, "a", ("i1", 1), 0);
+    ledger.finish(ended, "a", ("i1", 1), done.clone(), 1);
+    assert_eq!(ledger.refuse(id, "a", 1), FinishReply::NotHolder);
+    assert_eq!(ledger.refuse(id, "b", 1), FinishReply::BodyMismatch);
+    assert_eq!(ledger.refuse(ended, "a", 1), FinishReply::EndedBefore(done.clone()));
+    assert_eq!(ledger.refuse(fresh, "a", 1), FinishReply::Recorded);
+    assert_eq!(ledger.refuse(fresh, "a", 2), FinishReply::Recorded);
+    assert_eq!(recorded(ledger.begin(fresh, "a", ("i2", 1), 3)).outcome, NotRun);
+    assert_eq!(ledger.finish(id, "a", ("i1", 1), done, 4), FinishReply::Recorded);
+    assert_eq!(ledger.refuse(request(-WINDOW_MS - 1, 1), "a", 4), FinishReply::OutsideWindow);
+}
+
 #[test]
 fn restart_of_the_holder_ends_the_claim_as_unknown() {
     let mut ledger = TestLedger::default();
@@ -168,13 +186,10 @@
 fn refusals_ahead_of_time_have_a_bound_of_their_own() {
     let mut ledger = TestLedger::default();
     for number in 0..MAX_FUTURE_REFUSALS as u16 {
-        let id = request(WINDOW_MS, number);
-        let reply = ledger.finish(id, "a", ("i1", 1), record(NotRun, None), 0);
-        assert_eq!(reply, FinishReply::Recorded);
+        assert_eq!(ledger.refuse(request(WINDOW_MS, number), "a", 0), FinishReply::Recorded);
     }
     let id = request(WINDOW_MS, MAX_FUTURE_REFUSALS as u16);
-    let reply = ledger.finish(id, "a", ("i1", 1), record(NotRun, None), 0);
-    assert_eq!(reply, FinishReply::TableFull);
+    assert_eq!(ledger.refuse(id, "a", 0), FinishReply::TableFull);
     assert_eq!(ledger.begin(request(0, 1), "a", ("i1", 1), 0), ClaimDecision::Granted);
 }
 
--- a/crates/figglade/tests/ledger_common/mod.rs
+++ b/crates/figglade/tests/ledger_common/mod.rs
@@ -6,8 +6,8 @@
     controller::{
         fleet::parse_document_value,
         ledger::{
-            ClaimAbandon, ClaimFinish, ClaimReply, ConfigOutcome, ConfigPut, FinishReply, Ledger,
-            LedgerCommand, LedgerReply,
+            ClaimAbandon, ClaimFinish, ClaimRefusal, ClaimReply, ConfigOutcome, ConfigPut,
+            FinishReply, Ledger, LedgerCommand, LedgerReply,
         },
     },
     wire::ActionOutcome,
@@ -111,6 +111,20 @@
         }
     }
 
+    /// Refuses a request that the refusing instance did not claim.
+    pub fn refuse(&mut self, request: RequestId, body: &str, offset_ms: i64) -> FinishReply {
+        let command = LedgerCommand::RefuseClaim(ClaimRefusal {
+            request,
+            digest: digest(body),
+            reason: "no room".to_owned(),
+            wall: wall(offset_ms),
+        });
+        match self.apply(&command) {
+            LedgerReply::Finish(reply) => reply,
+            other => panic!("a refusal was answered with {other:?}"),
+        }
+    }
+
     /// Ends the claims of earlier incarnations; returns their number.
     pub fn abandon(&mut self, instance: &str, before: u64, offset_ms: i64) -> u64 {
         let command = LedgerCommand::AbandonClaims(ClaimAbandon {
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -149,7 +149,8 @@
         observed.now += u.int_in_range(-5_000..=60_000)?;
         match u.int_in_range(0..=9)? {
             0..=3 => step_begin(u, &mut ledger, &mut observed)?,
-            4..=5 => step_finish(u, &mut ledger, &mut observed)?,
+            4 => step_finish(u, &mut ledger, &mut observed)?,
+            5 => step_refuse(u, &mut ledger, &mut observed)?,
             6 => step_abandon(u, &mut ledger, &mut observed)?,
             7 => step_put(u, &mut ledger, &mut observed)?,
             8 => step_report(u, &mut ledger)?,
@@ -211,6 +212,21 @@
     Ok(())
 }
 
+/// Refuses a request; an accepted refusal is for ever and never of an open claim.
+fn step_refuse(
+    u: &mut Unstructured<'_>,
+    ledger: &mut TestLedger,
+    observed: &mut Observed,
+) -> arbitrary::Result<()> {
+    let (id, body, _) = draw_claim(u)?;
+    let was_open = ledger.ledger.open_claims().any(|(open, _)| open == id);
+    if ledger.refuse(id, body, observed.now).is_recorded() {
+        let first = observed.ended.insert(id, NotRun);
+        assert!(!was_open && first.is_none_or(|first| first == NotRun));
+    }
+    Ok(())
+}
+
 /// Ends the claims of earlier incarnations.
 fn step_abandon(
     u: &mut Unstructured<'_>,
