Print the progress of the bench to standard error

Cause: the rows of a run stood twice on standard output, once as progress. Change: progress goes to standard error; standard output holds the report only.

--- a/crates/figglade-bench/src/main.rs
+++ b/crates/figglade-bench/src/main.rs
@@ -72,14 +72,14 @@
 /// Runs everything that was asked for and writes the reports.
 async fn measure(options: BenchOptions) -> Result<(), BenchError> {
     let workloads = choose_workloads(&options.workload)?;
-    print!("{}", runs_header());
+    eprint!("{}", runs_header());
     let mut runs = Vec::new();
     for workload in &workloads {
         runs.extend(measure_workload(workload, &options).await?);
     }
     let report = BenchReport::new(describe_command(), runs);
     let markdown = report.to_markdown();
-    println!("\n{markdown}");
+    println!("{markdown}");
     if let Some(path) = &options.markdown {
         std::fs::write(path, &markdown)?;
     }
@@ -113,7 +113,7 @@
             if case == BenchCase::FaultFree && variant == BenchVariant::Random {
                 hedge_delay = shard_p95;
             }
-            print!("{}", format_run(&summary));
+            eprint!("{}", format_run(&summary));
             runs.push(summary);
         }
     }
@@ -131,7 +131,7 @@
     }
     let (case, variant) = (BenchCase::FaultFree, BenchVariant::Random);
     let (_, p95) = run_case(workload, case, variant, Duration::ZERO, run_options).await?;
-    println!("# {}: fixed hedge after {:.1} ms", workload.name, p95.as_secs_f64() * 1_000.0);
+    eprintln!("# {}: fixed hedge after {:.1} ms", workload.name, p95.as_secs_f64() * 1_000.0);
     Ok(p95)
 }
 
