--- a/crates/figglade/src/filter/fanout.rs
+++ b/crates/figglade/src/filter/fanout.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use derive_more::Display;
 use rand::{Rng, RngExt};
 
 use crate::{
@@ -48,7 +49,8 @@
 }
 
 /// Why an attempt was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[display(rename_all = "snake_case")]
 pub enum AttemptKind {
     /// The first attempt for a shard.
     First,
--- a/crates/figgladed/src/api/caller.rs
+++ b/crates/figgladed/src/api/caller.rs
@@ -16,6 +16,7 @@
     reply::{ApiResult, json_reply, parse_body, refuse},
 };
 use crate::{
+    metrics::RequestKind,
     settings::Role,
     tier::{Refusal, TierError},
 };
@@ -37,7 +38,7 @@
         Err(error) => return Ok(refuse_request(context, error.into())),
     };
     let answer = context.tier.run_query(request, received).await;
-    Ok(finish_request(context, "query", received, answer))
+    Ok(finish_request(context, RequestKind::Query, received, answer))
 }
 
 /// Reads the record that a key names.
@@ -50,7 +51,7 @@
         Err(error) => return Ok(refuse_request(context, error.into())),
     };
     let answer = context.tier.run_lookup(request, received).await;
-    Ok(finish_request(context, "lookup", received, answer))
+    Ok(finish_request(context, RequestKind::Lookup, received, answer))
 }
 
 /// Runs an action at most once.
@@ -66,7 +67,7 @@
     let tier = Arc::clone(&context.tier);
     let running = tokio::spawn(async move { tier.run_action(request, received).await });
     let answer = running.await.unwrap_or_else(|_| Err(failed_action()));
-    Ok(finish_request(&context, "action", received, answer))
+    Ok(finish_request(&context, RequestKind::Action, received, answer))
 }
 
 fn open_request<T: DeserializeOwned>(
@@ -79,13 +80,13 @@
 
 fn finish_request<T: Serialize>(
     context: &ApiContext,
-    kind: &'static str,
+    kind: RequestKind,
     received: Timestamp,
     answer: Result<T, Refusal>,
 ) -> Response<Body> {
     match answer {
         Ok(answer) => {
-            context.metrics.observe_latency(kind, context.clock.now().since(received));
+            context.metrics.record_request(kind, context.clock.now().since(received));
             json_reply(StatusCode::OK, &answer)
         }
         Err(refusal) => refuse_request(context, refusal),
--- a/crates/figgladed/src/control/operator.rs
+++ b/crates/figgladed/src/control/operator.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use figglade::{
-    ConfigVersion, RequestId,
+    ConfigVersion, RequestId, WallTime,
     border::BoxFuture,
     controller::{
         directory::TargetEntry,
+        event::{EventQuery, HybridStamp},
         fleet::{FleetError, parse_document},
         ledger::{ConfigOutcome, ConfigPut, LedgerCommand, LedgerReply},
         membership::MemberRecord,
@@ -34,6 +35,8 @@
 const FORCE_POLL: Duration = Duration::from_millis(20);
 /// The most events in one answer.
 const MAX_SHOWN_EVENTS: usize = 10_000;
+/// The largest size of the events in one answer, in bytes.
+const MAX_SHOWN_EVENT_BYTES: usize = 4 << 20;
 
 impl ControlApi for Arc<ControlPlane> {
     fn announce(&self, announcement: Announcement) -> Result<AnnounceResponse, AnnounceError> {
@@ -75,9 +78,15 @@
     }
 
     fn events(&self, since_ms: u64, request: Option<RequestId>) -> Value {
-        let since = figglade::WallTime::from_millis(since_ms);
-        let events = self.parts.timeline.since(since, request, MAX_SHOWN_EVENTS);
-        json!({ "instance": self.parts.instance, "events": events })
+        let page = self.parts.timeline.since(&EventQuery {
+            since: HybridStamp::first_at(WallTime::from_millis(since_ms)),
+            request,
+            max_events: MAX_SHOWN_EVENTS,
+            max_bytes: MAX_SHOWN_EVENT_BYTES,
+        });
+        json!({
+            "instance": self.parts.instance, "events": page.events, "truncated": page.truncated,
+        })
     }
 }
 
@@ -176,9 +185,8 @@
         let now = self.parts.clock.now();
         let alive = self.parts.gossip.alive();
         let version = self.parts.state.config().version;
-        let in_force =
-            alive.iter().filter(|record| record.facts.config_version >= version).count();
-        let unready = ControlPlane::unready_reason(self);
+        let in_force = alive.iter().filter(|record| record.facts.config_version >= version).count();
+        let unready = self.unready_reason();
         let view = self.parts.member.as_ref().map(super::member::MemberHandle::view);
         json!({
             "instance": self.parts.instance,
