Lease shares of the targets' caps, refuse without claiming, renew manifests by news

Cause: every instance used the whole connection cap of a target; a second copy of a running action at the same instance could be recorded as not run; renewals carried every manifest. Change: the control leader leases shares with each renewal and commits holder sets; a refusal is its own command that never ends an open claim; renewals carry changed manifests only; a holder set is accepted only with the next epoch, and the test now demands that. Conclusion: caps hold by lease; an instance without a lease opens no connection.

--- a/crates/figglade/src/border.rs
+++ b/crates/figglade/src/border.rs
@@ -246,12 +246,20 @@
     /// Claims the right to run an action.
     fn begin_claim(&self, claim: ClaimRequest) -> BoxFuture<Result<ClaimDecision, ClaimError>>;
 
-    /// Records the end of an action whose claim was granted to this instance, or the refusal of
-    /// an action that no instance has claimed.
+    /// Records the end of an action whose claim was granted to this sending.
     fn finish_claim(
         &self,
         request: RequestId,
         digest: BodyDigest,
         record: ActionRecord,
     ) -> BoxFuture<Result<(), ClaimError>>;
+
+    /// Records that an action that nobody claimed will never run. It fails while another sending
+    /// holds the claim, even at this instance.
+    fn refuse_claim(
+        &self,
+        request: RequestId,
+        digest: BodyDigest,
+        reason: String,
+    ) -> BoxFuture<Result<(), ClaimError>>;
 }
--- a/crates/figglade/src/controller/ledger/command.rs
+++ b/crates/figglade/src/controller/ledger/command.rs
@@ -7,7 +7,7 @@
 use crate::{
     Incarnation, InstanceId, RequestId, WallTime,
     border::{ActionRecord, BodyDigest, ClaimRequest},
-    controller::{fleet::FleetDocument, ledger::ManifestReport},
+    controller::{fleet::FleetDocument, ledger::ManifestReport, share::HolderSet},
     peer::{CodecError, decode_payload, encode_payload},
 };
 
@@ -91,15 +91,6 @@
     pub wall: WallTime,
 }
 
-/// The instances that hold shares of the targets' caps.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HolderSet {
-    /// Numbers the sets; it only rises.
-    pub epoch: u64,
-    /// The instances.
-    pub holders: Vec<InstanceId>,
-}
-
 /// A command as it stands in the log.
 #[derive(Serialize, Deserialize)]
 struct CommandEnvelope {
--- a/crates/figglade/src/controller/ledger/mod.rs
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     RequestId, WallTime,
-    controller::{fleet::FleetConfig, quorum::LogIndex},
+    controller::{fleet::FleetConfig, quorum::LogIndex, share::HolderSet},
 };
 
 use self::{
@@ -35,7 +35,7 @@
     },
     command::{
         COMMAND_VERSION, ClaimAbandon, ClaimFinish, ClaimRefusal, CommandError, ConfigPut,
-        HolderSet, LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
+        LedgerCommand, MAX_CLOCK_SKEW_MS, MAX_COMMAND_BYTES,
     },
     config::{ConfigChange, ConfigOutcome, MAX_HISTORY, MAX_REMEMBERED_CHANGES},
     manifest_set::ManifestSet,
@@ -192,13 +192,14 @@
         }
     }
 
-    /// Replaces the holders when the epoch is newer.
+    /// Replaces the holders when the epoch follows the one in force.
     fn set_holders(&mut self, holders: HolderSet) -> LedgerReply {
-        let accepted = holders.epoch > self.holders.epoch && holders.holders.len() <= MAX_HOLDERS;
+        let follows = holders.epoch == self.holders.epoch.next();
+        let accepted = follows && holders.holders.len() <= MAX_HOLDERS;
         if accepted {
             self.holders = holders;
         }
-        LedgerReply::Holders { accepted, epoch: self.holders.epoch }
+        LedgerReply::Holders { accepted, epoch: self.holders.epoch.get() }
     }
 
     /// Returns the limits that the latest configuration sets for claims.
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -13,10 +13,12 @@
 use figglade::{
     RequestId,
     border::{ActionRecord, ClaimDecision},
-    controller::ledger::{
-        COMMAND_VERSION, CommandError, ConfigOutcome, HolderSet, Ledger, LedgerCommand,
-        LedgerError, LedgerReply, MAX_CLOCK_SKEW_MS, ManifestReport, STATE_VERSION, SnapshotKey,
-        StateError,
+    controller::{
+        ledger::{
+            COMMAND_VERSION, CommandError, ConfigOutcome, Ledger, LedgerCommand, LedgerError,
+            LedgerReply, MAX_CLOCK_SKEW_MS, ManifestReport, STATE_VERSION, SnapshotKey, StateError,
+        },
+        share::{HolderSet, ShareEpoch},
     },
     peer::encode_payload,
     wire::ActionOutcome::{self, Done, NotRun, Unknown},
@@ -35,7 +37,7 @@
 /// Builds a holder set.
 fn holders(epoch: u64, names: &[&str]) -> LedgerCommand {
     let holders = names.iter().map(|name| name.parse().unwrap()).collect();
-    LedgerCommand::SetHolders(HolderSet { epoch, holders })
+    LedgerCommand::SetHolders(HolderSet { epoch: ShareEpoch::new(epoch), holders })
 }
 
 #[test]
@@ -89,9 +91,11 @@
 }
 
 #[test]
-fn holders_change_only_with_a_higher_epoch() {
+fn holders_change_only_with_the_next_epoch() {
     let mut ledger = TestLedger::default();
     let accepted = |accepted, epoch| LedgerReply::Holders { accepted, epoch };
+    assert_eq!(ledger.apply(&holders(2, &["i1"])), accepted(false, 0));
+    assert_eq!(ledger.apply(&holders(1, &["i1"])), accepted(true, 1));
     assert_eq!(ledger.apply(&holders(2, &["i1", "i2"])), accepted(true, 2));
     assert_eq!(ledger.apply(&holders(2, &["i3"])), accepted(false, 2));
     assert_eq!(ledger.apply(&holders(1, &["i3"])), accepted(false, 2));
--- a/crates/figgladed/src/clock.rs
+++ b/crates/figgladed/src/clock.rs
@@ -1,9 +1,12 @@
 //! The clocks of the process; only the daemon reads them.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use figglade::{Timestamp, WallTime};
 
+/// The farthest point that can be slept until, a century after the start.
+const MAX_SLEEP: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
+
 /// Reads the monotonic clock of the process and the wall clock.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
@@ -29,7 +32,7 @@
 
     /// Returns the instant that `at` stands for, to sleep until it.
     pub fn instant_of(&self, at: Timestamp) -> tokio::time::Instant {
-        let offset = at.since(Timestamp::ZERO);
+        let offset = at.since(Timestamp::ZERO).min(MAX_SLEEP);
         tokio::time::Instant::from_std(self.origin + offset)
     }
 }
--- a/crates/figgladed/src/control/gossip.rs
+++ b/crates/figgladed/src/control/gossip.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use figglade::{
-    IndexName, Timestamp,
+    IndexName, TargetId, Timestamp,
     border::PeerLink,
     controller::{
         directory::{
@@ -205,6 +205,15 @@
         self.controllers.lock().membership.members().cloned().collect()
     }
 
+    /// Calls `visit` with the target, its address and its cap for each target that has not left.
+    pub fn visit_caps(&self, mut visit: impl FnMut(&TargetId, SocketAddr, u32)) {
+        let controllers = self.controllers.lock();
+        for entry in controllers.directory.records() {
+            let announcement = entry.announcement();
+            visit(&announcement.target_id, announcement.address, announcement.connections);
+        }
+    }
+
     /// Returns every target.
     pub fn targets(&self) -> Vec<TargetEntry> {
         self.controllers.lock().directory.records().cloned().collect()
--- a/crates/figgladed/src/control/group.rs
+++ b/crates/figgladed/src/control/group.rs
@@ -51,7 +51,7 @@
 
 /// The outcome of one call.
 enum CallEnd {
-    Reply(ControlReply),
+    Reply(Box<ControlReply>),
     NotDelivered(String),
     Unknown,
 }
@@ -122,17 +122,11 @@
             };
             let end = self.call(&member, request, frame.clone(), left.min(CALL_TIMEOUT)).await;
             match end {
-                CallEnd::Reply(ControlReply::NotLeader { leader }) => {
-                    reason = "no leader is known".to_owned();
-                    self.follow_hint(&member, leader);
-                }
-                CallEnd::Reply(ControlReply::Undecided) | CallEnd::Unknown
-                    if mode == ProposeMode::Once =>
-                {
+                CallEnd::Unknown if mode == ProposeMode::Once => {
                     self.forget_leader(&member);
                     return Err(ProposeFailure::Undecided);
                 }
-                CallEnd::Reply(ControlReply::Undecided) | CallEnd::Unknown => {
+                CallEnd::Unknown => {
                     reason = "the leader did not answer".to_owned();
                     self.forget_leader(&member);
                 }
@@ -140,10 +134,16 @@
                     reason = error;
                     self.forget_leader(&member);
                 }
-                CallEnd::Reply(reply) => {
-                    self.known.lock().leader = Some(member);
-                    return Ok(reply);
-                }
+                CallEnd::Reply(reply) => match *reply {
+                    ControlReply::NotLeader { leader } => {
+                        reason = "no leader is known".to_owned();
+                        self.follow_hint(&member, leader);
+                    }
+                    reply => {
+                        self.known.lock().leader = Some(member);
+                        return Ok(reply);
+                    }
+                },
             }
             if self.known.lock().leader.is_none() {
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -162,11 +162,11 @@
             && *id == member.id
         {
             let answer = tokio::time::timeout(timeout, ask_member(handle, request.clone())).await;
-            return answer.map_or(CallEnd::Unknown, CallEnd::Reply);
+            return answer.map_or(CallEnd::Unknown, end_of);
         }
         match self.link.call(member.peer, frame, timeout).await {
             Ok(answer) => match decode_payload(&answer.payload) {
-                Ok(reply) => CallEnd::Reply(reply),
+                Ok(reply) => end_of(reply),
                 Err(_) => CallEnd::Unknown,
             },
             Err(PeerCallError::Refused(refusal)) => CallEnd::NotDelivered(refusal.to_string()),
@@ -209,6 +209,14 @@
     }
 }
 
+/// Returns what a reply means for the search of a leader.
+fn end_of(reply: ControlReply) -> CallEnd {
+    match reply {
+        ControlReply::Undecided => CallEnd::Unknown,
+        reply => CallEnd::Reply(Box::new(reply)),
+    }
+}
+
 /// Hands a request to the member at this instance.
 pub async fn ask_member(handle: &MemberHandle, request: ControlRequest) -> ControlReply {
     match request {
--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -18,6 +18,7 @@
             QuorumAction, QuorumMessage, QuorumNode, QuorumSettings, QuorumStatus, ReadTicket,
             Term,
         },
+        share::{ShareAction, ShareLeader, ShareTiming},
     },
     peer::{FrameKind, PeerFrame, encode_payload},
 };
@@ -147,7 +148,7 @@
             view: Arc::clone(&view),
             pending: BTreeMap::new(),
             reads: HashMap::new(),
-            manifest_revision: snapshot_at,
+            shares: None,
             snapshot_at,
         };
         let builder = thread::Builder::new().name("control-member".to_owned());
@@ -220,7 +221,8 @@
     view: Arc<RwLock<MemberView>>,
     pending: BTreeMap<LogIndex, PendingProposal>,
     reads: HashMap<ReadTicket, PendingRead>,
-    manifest_revision: LogIndex,
+    /// The leases on shares; only at a leader that has confirmed its leadership.
+    shares: Option<ShareLeader>,
     snapshot_at: LogIndex,
 }
 
@@ -266,6 +268,7 @@
             let actions = self.node.handle_tick(now, &mut rand::rng());
             self.run_actions(actions)?;
         }
+        self.tick_shares(now)?;
         self.take_snapshot()?;
         self.publish_view(None);
         Ok(true)
@@ -419,7 +422,7 @@
             },
             QuorumAction::Apply(entries) => self.apply_entries(entries)?,
             QuorumAction::Restore(snapshot) => self.restore(&snapshot)?,
-            QuorumAction::ReadReady { ticket, .. } => self.finish_read(ticket),
+            QuorumAction::ReadReady { ticket, .. } => self.finish_read(ticket)?,
             QuorumAction::ReadFailed { ticket } => {
                 if let Some(read) = self.reads.remove(&ticket) {
                     answer(read.reply, ControlReply::NotLeader { leader: None });
@@ -435,22 +438,23 @@
     }
 
     fn apply_entries(&mut self, entries: Vec<LogEntry>) -> Result<(), MemberFailure> {
+        let mut new_holders = false;
         let before = self.ledger.config().version;
-        let revision = self.manifest_revision;
+        let revision = self.ledger.manifests().revision();
         for entry in entries {
             let EntryPayload::Command(command) = &entry.payload else {
                 self.resolve(entry.index, entry.term, None);
                 continue;
             };
             let reply = self.ledger.apply(entry.index, command)?;
-            if let LedgerReply::Manifests(manifests) = &reply
-                && manifests.recorded > 0
-            {
-                self.manifest_revision = entry.index;
-            }
+            new_holders |= matches!(reply, LedgerReply::Holders { accepted: true, .. });
             self.resolve(entry.index, entry.term, Some(reply));
         }
-        if self.ledger.config().version != before || self.manifest_revision != revision {
+        if new_holders {
+            self.follow_holders()?;
+        }
+        if self.ledger.config().version != before || self.ledger.manifests().revision() != revision
+        {
             (self.parts.on_change)();
         }
         Ok(())
@@ -468,29 +472,70 @@
 
     fn restore(&mut self, snapshot: &LogSnapshot) -> Result<(), MemberFailure> {
         self.ledger = Ledger::decode_state(&snapshot.state)?;
-        self.manifest_revision = snapshot.last_index;
         self.snapshot_at = snapshot.last_index;
         (self.parts.on_change)();
         Ok(())
     }
 
-    fn finish_read(&mut self, ticket: ReadTicket) {
-        let Some(read) = self.reads.remove(&ticket) else { return };
+    fn finish_read(&mut self, ticket: ReadTicket) -> Result<(), MemberFailure> {
+        let Some(read) = self.reads.remove(&ticket) else { return Ok(()) };
+        let now = self.now();
+        let (share, actions) = self.share_leader(now).handle_request(&read.request.share, now);
         let config = self.ledger.config();
         let has_config = read.request.config_version >= config.version;
-        let has_manifests = read.request.manifest_revision >= self.manifest_revision;
+        let manifests = self.ledger.manifests().news_since(read.request.manifest_revision);
         let renewed = RenewReply {
             config: (!has_config).then(|| config.as_ref().clone()),
-            manifest_revision: self.manifest_revision,
-            manifests: (!has_manifests).then(|| self.ledger.manifests().clone()),
+            has_more: manifests.revision < self.ledger.manifests().revision(),
+            manifests,
+            share,
         };
         answer(read.reply, ControlReply::Renewed(renewed));
+        self.run_share_actions(actions)
+    }
+
+    /// Returns the leases of this term; the read that comes first proves that the ledger holds
+    /// every holder set of earlier terms.
+    fn share_leader(&mut self, now: Timestamp) -> &mut ShareLeader {
+        let term = self.node.status().term;
+        let committed = self.ledger.holders().clone();
+        let start = || ShareLeader::new(term, committed, ShareTiming::default(), now);
+        self.shares.get_or_insert_with(start)
+    }
+
+    fn tick_shares(&mut self, now: Timestamp) -> Result<(), MemberFailure> {
+        let Some(shares) = &mut self.shares else { return Ok(()) };
+        if shares.next_deadline(now).is_none_or(|due| now < due) {
+            return Ok(());
+        }
+        let actions = shares.handle_tick(now);
+        self.run_share_actions(actions)
+    }
+
+    fn run_share_actions(&mut self, actions: Vec<ShareAction>) -> Result<(), MemberFailure> {
+        for ShareAction::ProposeHolders(holders) in actions {
+            let Ok(command) = LedgerCommand::SetHolders(holders).encode() else { continue };
+            // A proposal that is refused is repeated by the controller after a while.
+            if let Ok(accepted) = self.node.propose(vec![command], self.now()) {
+                self.run_actions(accepted.actions)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn follow_holders(&mut self) -> Result<(), MemberFailure> {
+        let now = self.now();
+        let committed = self.ledger.holders().clone();
+        let Some(shares) = &mut self.shares else { return Ok(()) };
+        let actions = shares.handle_committed(committed, now);
+        self.run_share_actions(actions)
     }
 
     fn follow_leader(&mut self, leader: Option<InstanceId>, term: Term) {
         let name = leader.as_ref().map_or("none".to_owned(), ToString::to_string);
         info!(self.parts.log, "quorum: the leader changed"; "leader" => name, "term" => %term);
         if leader.as_ref() != Some(&self.parts.settings.id) {
+            self.shares = None;
             // The entries may still be committed by the next leader.
             for (_, proposal) in std::mem::take(&mut self.pending) {
                 answer(proposal.reply, ControlReply::Undecided);
--- a/crates/figgladed/src/control/message.rs
+++ b/crates/figgladed/src/control/message.rs
@@ -7,8 +7,9 @@
     ConfigVersion, InstanceId,
     controller::{
         fleet::FleetConfig,
-        ledger::{LedgerReply, ManifestSet},
+        ledger::{LedgerReply, ManifestNews, ManifestRevision},
         quorum::{LogIndex, StorageId},
+        share::{ShareGrant, ShareRequest},
     },
 };
 use serde::{Deserialize, Serialize};
@@ -33,7 +34,9 @@
     /// The configuration in force.
     pub config_version: ConfigVersion,
     /// The revision of the manifests held.
-    pub manifest_revision: LogIndex,
+    pub manifest_revision: ManifestRevision,
+    /// Asks for a share of the caps of targets.
+    pub share: ShareRequest,
 }
 
 /// A change of the control group.
@@ -102,8 +105,10 @@
 pub struct RenewReply {
     /// The latest configuration, where the instance holds an older one.
     pub config: Option<FleetConfig>,
-    /// The revision of the latest manifests.
-    pub manifest_revision: LogIndex,
-    /// The latest manifests, where the instance holds older ones.
-    pub manifests: Option<ManifestSet>,
+    /// The manifests that changed since those the instance holds.
+    pub manifests: ManifestNews,
+    /// Whether more changes wait than one message holds.
+    pub has_more: bool,
+    /// The lease on a share of the caps of targets.
+    pub share: ShareGrant,
 }
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -1,6 +1,7 @@
 //! The control plane of one instance: readiness, renewal, claims and manifests.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -9,7 +10,7 @@
 };
 
 use figglade::{
-    Incarnation, InstanceId, RequestId,
+    Incarnation, InstanceId, RequestId, Timestamp,
     border::{
         ActionRecord, BodyDigest, BoxFuture, ClaimDecision, ClaimError, ClaimRequest, ClaimStore,
     },
@@ -17,10 +18,11 @@
         event::EventKind,
         fleet::{FleetDefaults, StalePolicy},
         ledger::{
-            ClaimAbandon, ClaimFinish, ClaimReply, FinishReply, LedgerCommand, LedgerReply,
-            ManifestReport,
+            ClaimAbandon, ClaimFinish, ClaimRefusal, ClaimReply, FinishReply, LedgerCommand,
+            LedgerReply, ManifestReport,
         },
         membership::LeaderHint,
+        share::{LeasePhase, ShareGrant, ShareHolder, ShareTiming},
     },
     filter::routing::TargetRoute,
     peer::{FrameKind, PeerFrame, decode_payload, encode_payload},
@@ -48,6 +50,8 @@
 
 /// The time between renewals.
 const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
+/// The shortest time between renewals.
+const MIN_RENEW_PERIOD: Duration = Duration::from_millis(20);
 /// How long one renewal may look for the leader.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long a claim may look for the leader.
@@ -77,6 +81,8 @@
     pub board: Arc<IndexBoard>,
     /// The member at this instance, if it has a disk.
     pub member: Option<MemberHandle>,
+    /// Bounds the connections to an address and returns whether no more are open.
+    pub limit_connections: Box<dyn Fn(SocketAddr, u32) -> bool + Send + Sync>,
     /// The time line.
     pub timeline: TimelineRecorder,
     /// The log of the process.
@@ -88,6 +94,7 @@
     pub(super) parts: PlaneParts,
     stopping: AtomicBool,
     abandoned: AtomicBool,
+    shares: Mutex<ShareHolder>,
     reports: Mutex<Vec<ManifestReport>>,
     reported: Notify,
     renew_now: Arc<Notify>,
@@ -96,8 +103,15 @@
 impl ControlPlane {
     /// Assembles the control plane; `renew_now` wakes the renewal before its time.
     pub fn new(parts: PlaneParts, renew_now: Arc<Notify>) -> Self {
+        let shares = ShareHolder::new(
+            parts.instance.clone(),
+            parts.incarnation,
+            ShareTiming::default(),
+            parts.clock.now(),
+        );
         Self {
             parts,
+            shares: Mutex::new(shares),
             stopping: AtomicBool::new(false),
             abandoned: AtomicBool::new(false),
             reports: Mutex::default(),
@@ -116,21 +130,34 @@
     pub async fn run_renewals(self: Arc<Self>) {
         loop {
             self.renew_once().await;
+            self.keep_shares();
             tokio::select! {
-                () = tokio::time::sleep(RENEW_PERIOD) => {}
+                () = tokio::time::sleep(self.renew_wait()) => {}
                 () = self.renew_now.notified() => {}
                 () = self.parts.gossip.config_heard.notified() => {}
             }
         }
     }
 
+    /// Returns the time until the next renewal.
+    fn renew_wait(&self) -> Duration {
+        let due = self.shares.lock().next_request_at();
+        due.since(self.parts.clock.now()).clamp(MIN_RENEW_PERIOD, RENEW_PERIOD)
+    }
+
     async fn renew_once(&self) {
         let sent_at = self.parts.clock.now();
-        let request = ControlRequest::Renew(self.parts.state.renew_request());
+        let share = self.shares.lock().begin_request(sent_at);
+        let request = ControlRequest::Renew(self.parts.state.renew_request(share));
         let asked = self.parts.group.ask(&request, ProposeMode::Idempotent, RENEW_TIMEOUT).await;
         match asked {
             Ok(ControlReply::Renewed(reply)) => {
+                let has_more = reply.has_more;
+                self.take_grant(reply.share.clone(), sent_at);
                 let change = self.parts.state.take_renewal(reply, sent_at);
+                if has_more {
+                    self.renew_now.notify_one();
+                }
                 if let Some(version) = change.config {
                     let detail = format!("configuration {version} is in force");
                     info!(self.parts.log, "config: {}", detail);
@@ -151,6 +178,48 @@
         self.tell_fleet();
     }
 
+    fn take_grant(&self, grant: ShareGrant, sent_at: Timestamp) {
+        let now = self.parts.clock.now();
+        let mut shares = self.shares.lock();
+        let before = shares.usable_epoch();
+        shares.handle_grant(grant, sent_at, now);
+        let usable = shares.usable_epoch();
+        drop(shares);
+        if usable != before {
+            let epoch = usable.map_or("none".to_owned(), |epoch| epoch.to_string());
+            let detail = format!("shares of holder epoch {epoch} are in use");
+            self.parts.timeline.record(EventKind::ShareChanged, None, detail);
+        }
+    }
+
+    /// Closes connections above the shares and confirms the epoch that is kept to.
+    fn keep_shares(&self) {
+        let now = self.parts.clock.now();
+        let shares = self.shares.lock();
+        let phase = shares.lease_phase(now);
+        let mut kept = true;
+        self.parts.gossip.visit_caps(|target, address, cap| {
+            let limit = match phase {
+                LeasePhase::Held => shares.connection_share(target, self.tier_cap(cap), now),
+                LeasePhase::Closing => shares.open_limit(target, self.tier_cap(cap), now),
+                LeasePhase::Expired => 0,
+            };
+            kept &= (self.parts.limit_connections)(address, limit);
+        });
+        let unconfirmed = shares.unconfirmed_epoch();
+        drop(shares);
+        if let Some(epoch) = unconfirmed.filter(|_| kept) {
+            self.shares.lock().confirm_epoch(epoch, now);
+            self.renew_now.notify_one();
+        }
+    }
+
+    /// Returns the connections of a cap that the tier may use.
+    fn tier_cap(&self, cap: u32) -> u32 {
+        let share = self.parts.state.settings().connection_share;
+        ((f64::from(cap) * share).floor() as u32).max(1)
+    }
+
     /// Ends the claims that an earlier start of this instance left open, once.
     fn abandon_old_claims(&self) {
         if self.abandoned.swap(true, Ordering::Relaxed) {
@@ -280,7 +349,8 @@
     }
 
     fn connection_share(&self, route: &TargetRoute) -> u32 {
-        route.connections
+        let cap = self.tier_cap(route.connections);
+        self.shares.lock().connection_share(&route.target, cap, self.parts.clock.now())
     }
 
     fn note(&self, kind: EventKind, request: Option<RequestId>, detail: String) {
@@ -330,6 +400,24 @@
             }
         })
     }
+
+    fn refuse_claim(
+        &self,
+        request: RequestId,
+        digest: BodyDigest,
+        reason: String,
+    ) -> BoxFuture<Result<(), ClaimError>> {
+        let group = Arc::clone(&self.parts.group);
+        let wall = self.parts.clock.wall();
+        let command = LedgerCommand::RefuseClaim(ClaimRefusal { request, digest, reason, wall });
+        Box::pin(async move {
+            let reply = group.propose(&command, ProposeMode::Idempotent, FINISH_TIMEOUT).await?;
+            match reply {
+                LedgerReply::Finish(FinishReply::Recorded) => Ok(()),
+                _ => Err(ClaimError::Undecided),
+            }
+        })
+    }
 }
 
 /// What the frames of other instances reach.
--- a/crates/figgladed/src/control/state.rs
+++ b/crates/figgladed/src/control/state.rs
@@ -7,7 +7,7 @@
     controller::{
         fleet::{FleetConfig, FleetDefaults, ResolveScope},
         ledger::ManifestSet,
-        quorum::LogIndex,
+        share::ShareRequest,
     },
     filter::routing::{KnownManifest, SnapshotKey},
 };
@@ -27,7 +27,6 @@
     config: Arc<FleetConfig>,
     settings: Arc<FleetDefaults>,
     manifests: Arc<ManifestSet>,
-    manifest_revision: LogIndex,
     proved_at: Option<Timestamp>,
 }
 
@@ -47,7 +46,6 @@
             config: Arc::default(),
             settings: Arc::default(),
             manifests: Arc::default(),
-            manifest_revision: LogIndex::default(),
             proved_at: None,
         };
         Self { instance, zone, held: RwLock::new(held) }
@@ -79,11 +77,12 @@
     }
 
     /// Returns what to ask a control member for.
-    pub fn renew_request(&self) -> RenewRequest {
+    pub fn renew_request(&self, share: ShareRequest) -> RenewRequest {
         let held = self.held.read();
         RenewRequest {
             config_version: held.config.version,
-            manifest_revision: held.manifest_revision,
+            manifest_revision: held.manifests.revision(),
+            share,
         }
     }
 
@@ -98,12 +97,9 @@
             held.settings = Arc::new(self.resolve(&config, None));
             held.config = Arc::new(config);
         }
-        if let Some(manifests) = reply.manifests
-            && reply.manifest_revision > held.manifest_revision
-        {
+        if reply.manifests.revision > held.manifests.revision() {
             change.manifests = true;
-            held.manifests = Arc::new(manifests);
-            held.manifest_revision = reply.manifest_revision;
+            Arc::make_mut(&mut held.manifests).adopt(&reply.manifests);
         }
         held.proved_at = held.proved_at.max(Some(sent_at));
         change
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -162,7 +162,9 @@
         }
         self.transport.close().await;
         self.timeline.record(EventKind::InstanceStopped, None, "");
-        self.timeline.close();
+        // The writer syncs what it holds; waiting for it blocks only for that long.
+        let timeline = self.timeline;
+        let _ = tokio::task::spawn_blocking(move || timeline.close()).await;
         info!(self.log, "instance: stopped");
     }
 }
@@ -202,12 +204,14 @@
         &self,
         handler: Arc<PlaneHandler>,
     ) -> Result<PeerTransport, RuntimeError> {
-        let options = PeerOptions::new(
+        let mut options = PeerOptions::new(
             self.settings.listen.peer,
             self.settings.instance.id.clone(),
             self.incarnation,
             self.keys.peer.clone(),
         );
+        options.advertise = self.settings.listen.advertise_peer;
+        options.clock = Some(Arc::new(self.timeline.recorder()));
         Ok(PeerTransport::start(options, handler, self.log.clone()).await?)
     }
 
@@ -308,6 +312,7 @@
         gossip: Arc<GossipDriver>,
         member: Option<MemberHandle>,
     ) -> Arc<ControlPlane> {
+        let client = Arc::clone(&self.client);
         let parts = PlaneParts {
             clock: self.clock,
             instance: self.settings.instance.id.clone(),
@@ -317,6 +322,9 @@
             gossip,
             board: Arc::clone(&self.board),
             member,
+            limit_connections: Box::new(move |address, share| {
+                client.limit_connections(address, share)
+            }),
             timeline: self.timeline.recorder(),
             log: self.log.clone(),
         };
--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Bounds the connections to `address` and returns whether no more are open.
+    pub fn limit_connections(&self, address: SocketAddr, share: u32) -> bool {
+        let Some(pool) = self.pools.lock().get(&address).cloned() else { return true };
+        pool.set_share(share);
+        pool.open_connections() <= share
+    }
+
     /// Returns the open connections to all targets.
     pub fn open_connections(&self) -> u32 {
         self.pools.lock().values().map(|pool| pool.open_connections()).sum()
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -14,6 +14,9 @@
 
 use super::{IndexView, QueryTier, Refusal, TierError, millis_left, validate};
 
+/// How long the record of a refusal may take; the deadline of the request may be unusable.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// One action on its way.
 struct ActionPlan {
     request: ActionRequest,
@@ -42,12 +45,16 @@
         received: Timestamp,
     ) -> Result<ActionResponse, Refusal> {
         let settings = self.settings.settings_of(&request.index);
-        validate::check_deadline(request.deadline_ms, &settings)?;
-        validate::check_key(&request.key)?;
         check_version(request.request_id)?;
+        let checked = validate::check_deadline(request.deadline_ms, &settings)
+            .and_then(|()| validate::check_key(&request.key));
         let digest = BodyDigest::of_action(&request.index, &request.key, request.body.get());
         let deadline = received + Duration::from_millis(request.deadline_ms);
         let plan = ActionPlan { request, digest, deadline };
+        if let Err(error) = checked {
+            // Another copy of the request may be running, or pass the limits of another instance.
+            return self.refuse_recorded(&plan, error).await;
+        }
         if let Some(reason) = self.parts.control.refuse_action(&settings) {
             // Without a current view of the log nothing can be said about the identifier.
             let error = TierError::Unavailable { reason };
@@ -206,10 +213,8 @@
         error: TierError,
     ) -> Result<ActionResponse, Refusal> {
         let id = plan.request.request_id;
-        let record = not_run_record(error.to_string());
-        let recording = self.parts.claims.finish_claim(id, plan.digest, record);
-        let due = self.parts.clock.instant_of(plan.deadline);
-        let outcome = match tokio::time::timeout_at(due, recording).await {
+        let recording = self.parts.claims.refuse_claim(id, plan.digest, error.to_string());
+        let outcome = match tokio::time::timeout(REFUSAL_TIMEOUT, recording).await {
             Ok(Ok(())) => ActionOutcome::NotRun,
             Ok(Err(ClaimError::NotProposed | ClaimError::Undecided)) | Err(_) => {
                 ActionOutcome::Unknown
