Give a lost grant again to its own sending, wait for a running copy, be ready only with a share

Cause: after the leader was killed the first action was answered unknown at once, because its claim had been sent; four copies sent at the same moment got three times unknown; a restarted instance was ready 0.2 s after its start but answered with coverage 0 until its old lease had run out. Change: a claim carries a nonce and may be proposed again; a copy waits for the running one until its deadline; an instance without a share of connections is not ready.

--- a/crates/figglade/src/border.rs
+++ b/crates/figglade/src/border.rs
@@ -211,6 +211,10 @@
     pub instance: InstanceId,
     /// The incarnation of that instance, so that a restart is told from a resend.
     pub incarnation: crate::Incarnation,
+    /// Tells this sending from another one at the same instance, so that its claim can be proposed
+    /// again when an answer was lost; 0 stands for none.
+    #[serde(default)]
+    pub nonce: u64,
     /// The wall time of the claim.
     pub wall: WallTime,
 }
--- a/crates/figglade/src/controller/ledger/claim_table.rs
+++ b/crates/figglade/src/controller/ledger/claim_table.rs
@@ -100,6 +100,7 @@
         let holder = ClaimHolder {
             instance: claim.instance,
             incarnation: claim.incarnation,
+            nonce: claim.nonce,
             since: self.clock,
         };
         let entry = ClaimEntry { digest: claim.digest, status: ClaimStatus::Open(holder) };
@@ -120,6 +121,10 @@
         }
         let reason = match self.status(claim.request) {
             Some(ClaimStatus::Ended(record)) => return ClaimDecision::Recorded(record.clone()),
+            // The grant was lost on its way; the sending that waits for it gets it again.
+            Some(ClaimStatus::Open(holder)) if is_same_sending(holder, claim) => {
+                return ClaimDecision::Granted;
+            }
             Some(ClaimStatus::Open(holder)) => self.lost_holder_reason(holder, claim, limits),
             None => None,
         };
@@ -331,3 +336,11 @@
 fn is_same_end(kept: &ActionRecord, resent: &ActionRecord) -> bool {
     kept.outcome == resent.outcome && (kept.result.is_none() || kept.result == resent.result)
 }
+
+/// Returns whether the claim is a copy of the one that the holder was granted.
+fn is_same_sending(holder: &ClaimHolder, claim: &ClaimRequest) -> bool {
+    holder.nonce != 0
+        && holder.nonce == claim.nonce
+        && holder.instance == claim.instance
+        && holder.incarnation == claim.incarnation
+}
--- a/crates/figglade/src/controller/ledger/claims.rs
+++ b/crates/figglade/src/controller/ledger/claims.rs
@@ -73,6 +73,9 @@
     pub instance: InstanceId,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// The sending at that instance; 0 where it gave none.
+    #[serde(default)]
+    pub nonce: u64,
     /// The ledger's clock when the claim was granted.
     pub since: WallTime,
 }
--- a/crates/figglade/src/controller/share/holder.rs
+++ b/crates/figglade/src/controller/share/holder.rs
@@ -146,6 +146,13 @@
         Some(if now < closing { closing } else { end })
     }
 
+    /// Returns whether the instance may connect to targets at all.
+    pub fn holds_share(&self, now: Timestamp) -> bool {
+        let Some(usable) = self.usable else { return false };
+        let named = self.epochs.range(usable..).all(|(_, all)| all.contains(&self.instance));
+        named && self.lease_phase(now) == LeasePhase::Held
+    }
+
     /// Returns the epoch whose shares the instance uses, if any.
     pub fn usable_epoch(&self) -> Option<ShareEpoch> {
         self.usable
--- a/crates/figglade/tests/ledger_claims.rs
+++ b/crates/figglade/tests/ledger_claims.rs
@@ -4,15 +4,16 @@
 mod ledger_common;
 
 use figglade::{
-    RequestId,
-    border::{ActionRecord, ClaimDecision},
+    Incarnation, RequestId,
+    border::{ActionRecord, ClaimDecision, ClaimRequest},
     controller::ledger::{
-        CLAIM_GRACE_MS, ClaimReply, ClaimStatus, FinishReply, Ledger, MAX_ALL_RESULT_BYTES,
-        MAX_CLAIMS, MAX_FUTURE_MS, MAX_FUTURE_REFUSALS, MAX_RECORD_REASON_BYTES, MAX_RESULT_BYTES,
+        CLAIM_GRACE_MS, ClaimReply, ClaimStatus, FinishReply, Ledger, LedgerCommand, LedgerReply,
+        MAX_ALL_RESULT_BYTES, MAX_CLAIMS, MAX_FUTURE_MS, MAX_FUTURE_REFUSALS,
+        MAX_RECORD_REASON_BYTES, MAX_RESULT_BYTES,
     },
     wire::ActionOutcome::{Done, NotRun, Unknown},
 };
-use ledger_common::{TestLedger, record, request};
+use ledger_common::{TestLedger, digest, record, request, wall};
 use serde_json::json;
 use uuid::Uuid;
 
@@ -43,6 +44,30 @@
     assert_eq!(ledger.begin(id, "b", ("i2", 1), 3), ClaimDecision::BodyMismatch);
 }
 
+#[test]
+fn lost_grant_is_given_again_to_the_same_sending_only() {
+    let mut ledger = TestLedger::default();
+    let id = request(0, 1);
+    let claim = |nonce, incarnation| {
+        LedgerCommand::BeginClaim(ClaimRequest {
+            request: id,
+            digest: digest("a"),
+            instance: "i1".parse().unwrap(),
+            incarnation: Incarnation::new(incarnation),
+            nonce,
+            wall: wall(0),
+        })
+    };
+    let decided = |decision| LedgerReply::Claim(ClaimReply::Decided(decision));
+    assert_eq!(ledger.apply(&claim(7, 1)), decided(ClaimDecision::Granted));
+    assert_eq!(ledger.apply(&claim(7, 1)), decided(ClaimDecision::Granted));
+    assert_eq!(ledger.apply(&claim(8, 1)), decided(ClaimDecision::InProgress));
+    assert_eq!(ledger.apply(&claim(0, 1)), decided(ClaimDecision::InProgress));
+    let done = record(Done, Some("7"));
+    assert_eq!(ledger.finish(id, "a", ("i1", 1), done.clone(), 2), FinishReply::Recorded);
+    assert_eq!(ledger.apply(&claim(7, 1)), decided(ClaimDecision::Recorded(done)));
+}
+
 #[test]
 fn only_the_holder_records_the_end() {
     let mut ledger = TestLedger::default();
--- a/crates/figglade/tests/ledger_common/mod.rs
+++ b/crates/figglade/tests/ledger_common/mod.rs
@@ -76,6 +76,7 @@
         offset_ms: i64,
     ) -> ClaimReply {
         let command = LedgerCommand::BeginClaim(ClaimRequest {
+            nonce: 0,
             request,
             digest: digest(body),
             instance: holder.0.parse().unwrap(),
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -317,6 +317,9 @@
         if self.parts.state.is_stale(&settings, now) {
             return Some("the instance cannot prove that it is current".to_owned());
         }
+        if !self.shares.lock().holds_share(now) {
+            return Some("the instance holds no share of the targets' connections".to_owned());
+        }
         if !self.parts.gossip.is_synced() {
             return Some("the target directory is not loaded yet".to_owned());
         }
@@ -363,7 +366,8 @@
         let group = Arc::clone(&self.parts.group);
         Box::pin(async move {
             let command = LedgerCommand::BeginClaim(claim);
-            let reply = group.propose(&command, ProposeMode::Once, CLAIM_TIMEOUT).await?;
+            // The nonce of the claim makes a second copy harmless.
+            let reply = group.propose(&command, ProposeMode::Idempotent, CLAIM_TIMEOUT).await?;
             match reply {
                 LedgerReply::Claim(ClaimReply::Decided(decision)) => Ok(decision),
                 _ => Err(ClaimError::NotProposed),
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -17,6 +17,11 @@
 /// How long the record of a refusal may take; the deadline of the request may be unusable.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The first wait for another sending of the same action.
+const MIN_CLAIM_PAUSE: Duration = Duration::from_millis(20);
+/// The longest wait between two looks at another sending of the same action.
+const MAX_CLAIM_PAUSE: Duration = Duration::from_millis(320);
+
 /// One action on its way.
 struct ActionPlan {
     request: ActionRequest,
@@ -85,12 +90,16 @@
             digest: plan.digest,
             instance: self.parts.instance.clone(),
             incarnation: self.parts.incarnation,
+            nonce: rand::random::<u64>() | 1,
             wall: self.parts.clock.wall(),
         };
-        let deciding = self.parts.claims.begin_claim(claim);
+        let deciding = self.decide_claim(claim);
         let due = self.parts.clock.instant_of(plan.deadline);
         let Ok(decision) = tokio::time::timeout_at(due, deciding).await else {
-            return Ok(unknown_response(id, "the claim was not decided before the deadline"));
+            return Ok(unknown_response(
+                id,
+                "another sending had not ended, or the claim was not decided",
+            ));
         };
         match decision {
             Ok(ClaimDecision::Granted) => Ok(self.send_granted(plan, view).await),
@@ -112,6 +121,19 @@
         }
     }
 
+    /// Claims the action; while another sending of it runs, waits for that one to end.
+    async fn decide_claim(&self, claim: ClaimRequest) -> Result<ClaimDecision, ClaimError> {
+        let mut pause = MIN_CLAIM_PAUSE;
+        loop {
+            let decision = self.parts.claims.begin_claim(claim.clone()).await?;
+            if decision != ClaimDecision::InProgress {
+                return Ok(decision);
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_CLAIM_PAUSE);
+        }
+    }
+
     async fn send_granted(&self, plan: &ActionPlan, view: &IndexView) -> ActionResponse {
         let id = plan.request.request_id;
         self.parts.control.note(EventKind::ClaimGranted, Some(id), plan.request.key.clone());
