--- a/crates/figglade/src/controller/quorum/change.rs
+++ b/crates/figglade/src/controller/quorum/change.rs
@@ -51,8 +51,10 @@
         now: Timestamp,
     ) -> Result<(LogIndex, Vec<QuorumAction>), MemberChangeError> {
         let changed = self.check_change(&change, now)?;
-        if let MemberChange::Remove { id } = &change {
-            self.keep_address(id);
+        match &change {
+            MemberChange::AddLearner { id, .. } => self.drop_address(id),
+            MemberChange::Remove { id } => self.keep_address(id),
+            MemberChange::Promote { .. } => {}
         }
         let index = self.log.last_index().next();
         self.append_own(vec![EntryPayload::Members(changed)], now);
--- a/crates/figglade/src/controller/quorum/election.rs
+++ b/crates/figglade/src/controller/quorum/election.rs
@@ -10,6 +10,7 @@
         EntryPayload, MemberSet, MessageBody, QuorumMessage, QuorumNode, StorageId, Term,
         VoteAnswer, VoteRequest,
         leader::LeaderState,
+        log::entry_bytes,
         node::{NodeRole, StorageStanding},
     },
 };
@@ -156,6 +157,7 @@
         let term_start = self.log.last_index().next();
         let heartbeat_due = now + self.settings.heartbeat_period;
         let mut state = LeaderState::new(term_start, heartbeat_due);
+        state.uncommitted_bytes = self.log.iter_from(self.commit.next()).map(entry_bytes).sum();
         state.follow_members(&self.settings.id, self.members(), term_start, now);
         self.role = NodeRole::Leader(Box::new(state));
         self.standing = StorageStanding::Accepted;
--- a/crates/figglade/src/controller/quorum/leader.rs
+++ b/crates/figglade/src/controller/quorum/leader.rs
@@ -30,6 +30,8 @@
     pub(super) term_start: LogIndex,
     pub(super) heartbeat_due: Timestamp,
     pub(super) round: u64,
+    /// The bytes of the entries that are not committed.
+    pub(super) uncommitted_bytes: usize,
     pub(super) reads: VecDeque<PendingRead>,
     pub(super) transfer: Option<LeadershipTransfer>,
     /// Whether a follower was asked to campaign in this term: it may do so at any later time and
@@ -45,6 +47,7 @@
             term_start,
             heartbeat_due,
             round: 1,
+            uncommitted_bytes: 0,
             reads: VecDeque::new(),
             transfer: None,
             is_lease_given_up: false,
--- a/crates/figglade/src/controller/quorum/log.rs
+++ b/crates/figglade/src/controller/quorum/log.rs
@@ -6,6 +6,7 @@
 
 use crate::controller::quorum::{
     EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberSet, StoredLog, Term,
+    settings::{TRAILING_BYTES, TRAILING_ENTRIES},
 };
 
 /// The bytes an entry takes in a message besides its payload.
@@ -115,7 +116,7 @@
         candidate
     }
 
-    /// Makes a snapshot at a held index and keeps at most `trailing` entries before its end.
+    /// Makes a snapshot at a held index and keeps a bounded number of entries before its end.
     ///
     /// Returns `None` where the index is not held or is covered already.
     pub(super) fn compact(
@@ -123,7 +124,6 @@
         upto: LogIndex,
         members: MemberSet,
         state: Bytes,
-        trailing: usize,
     ) -> Option<LogSnapshot> {
         if upto <= self.snapshot_index() {
             return None;
@@ -132,7 +132,8 @@
         let snapshot = LogSnapshot { last_index: upto, last_term, members, state };
         self.snapshot = Some(snapshot.clone());
         let covered = self.position(upto).map_or(0, |at| at + 1);
-        for entry in self.entries.drain(..covered.saturating_sub(trailing)) {
+        let trailing = self.trailing_count(covered);
+        for entry in self.entries.drain(..covered - trailing) {
             self.base_index = entry.index;
             self.base_term = entry.term;
         }
@@ -153,6 +154,17 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Returns how many of the first `covered` entries, counted from their end, may stay.
+    fn trailing_count(&self, covered: usize) -> usize {
+        let mut bytes = 0;
+        let newest_first = self.entries.iter().take(covered).rev();
+        let is_kept = |entry: &&LogEntry| {
+            bytes += entry_bytes(entry);
+            bytes <= TRAILING_BYTES
+        };
+        newest_first.take(TRAILING_ENTRIES).take_while(is_kept).count()
+    }
+
     fn position(&self, index: LogIndex) -> Option<usize> {
         let at = index.get().checked_sub(self.base_index.get() + 1)? as usize;
         (at < self.entries.len()).then_some(at)
@@ -165,7 +177,7 @@
 }
 
 /// Returns about how many bytes an entry takes in a message.
-fn entry_bytes(entry: &LogEntry) -> usize {
+pub(super) fn entry_bytes(entry: &LogEntry) -> usize {
     let payload_bytes = match &entry.payload {
         EntryPayload::Noop => 0,
         EntryPayload::Command(command) => command.len(),
--- a/crates/figglade/src/controller/quorum/mod.rs
+++ b/crates/figglade/src/controller/quorum/mod.rs
@@ -34,7 +34,8 @@
 pub use replication::ProposeAccepted;
 pub use settings::{
     MAX_COMMAND_BYTES, MAX_IN_FLIGHT, MAX_MEMBERS, MAX_PENDING_READS, MAX_SNAPSHOT_BYTES,
-    MAX_UNCOMMITTED_ENTRIES, QuorumSettings, SNAPSHOT_CHUNK_BYTES, TRAILING_ENTRIES,
+    MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES, QuorumSettings, SNAPSHOT_CHUNK_BYTES,
+    TRAILING_BYTES, TRAILING_ENTRIES,
 };
 pub use status::{QuorumRole, QuorumStatus};
 pub use types::{
--- a/crates/figglade/src/controller/quorum/node.rs
+++ b/crates/figglade/src/controller/quorum/node.rs
@@ -201,7 +201,8 @@
         recorded.is_some_and(|known| known != self.settings.storage)
     }
 
-    /// Returns whether a leader was heard from within the shortest election timeout.
+    /// Returns whether a leader was heard from within the shortest election timeout; a leader asks
+    /// whether a majority was.
     pub(super) fn hears_leader(&self, now: Timestamp) -> bool {
         match &self.role {
             NodeRole::Leader(state) => {
--- a/crates/figglade/src/controller/quorum/read.rs
+++ b/crates/figglade/src/controller/quorum/read.rs
@@ -34,7 +34,7 @@
             self.push(QuorumAction::ReadReady { ticket, index: self.commit });
         } else {
             state.reads.push_back(PendingRead { ticket, round: state.round + 1 });
-            self.send_heartbeats(now);
+            self.start_read_round(now);
             self.complete_reads(now);
         }
         Ok((ticket, self.take_actions()))
@@ -71,5 +71,18 @@
         for read in ready {
             self.push(QuorumAction::ReadReady { ticket: read.ticket, index: self.commit });
         }
+        if ready_count > 0 {
+            self.start_read_round(now);
+        }
+    }
+
+    /// Starts a round for the reads that wait for one, unless an earlier round is still open:
+    /// many reads share the next one.
+    fn start_read_round(&mut self, now: Timestamp) {
+        let NodeRole::Leader(state) = &self.role else { return };
+        let is_due = state.reads.front().is_some_and(|read| read.round > state.round);
+        if is_due {
+            self.send_heartbeats(now);
+        }
     }
 }
--- a/crates/figglade/src/controller/quorum/replication.rs
+++ b/crates/figglade/src/controller/quorum/replication.rs
@@ -8,9 +8,10 @@
     controller::quorum::{
         AppendAnswer, AppendOutcome, EntryPayload, LogEntry, LogIndex, MessageBody, ProposeError,
         QuorumAction, QuorumMessage, QuorumNode, RoundStamp, SnapshotAnswer, Term,
+        log::entry_bytes,
         node::NodeRole,
         progress::FollowerProgress,
-        settings::{MAX_COMMAND_BYTES, MAX_UNCOMMITTED_ENTRIES},
+        settings::{MAX_COMMAND_BYTES, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES},
     },
 };
 
@@ -58,7 +59,10 @@
             return Err(ProposeError::TooLarge { length: command.len() });
         }
         let uncommitted = (self.log.last_index().get() - self.commit.get()) as usize;
-        if uncommitted + commands.len() > MAX_UNCOMMITTED_ENTRIES {
+        let command_bytes: usize = commands.iter().map(Bytes::len).sum();
+        let is_over_bytes = state.uncommitted_bytes > 0
+            && state.uncommitted_bytes + command_bytes > MAX_UNCOMMITTED_BYTES;
+        if uncommitted + commands.len() > MAX_UNCOMMITTED_ENTRIES || is_over_bytes {
             return Err(ProposeError::Overloaded);
         }
         Ok(())
@@ -72,6 +76,9 @@
             index = index.next();
             entries.push(LogEntry { index, term: self.term, payload });
         }
+        if let NodeRole::Leader(state) = &mut self.role {
+            state.uncommitted_bytes += entries.iter().map(entry_bytes).sum::<usize>();
+        }
         self.append_entries(entries, now);
         self.advance_commit(now);
         self.replicate_to_all(false, now);
@@ -120,6 +127,11 @@
         if index > self.commit {
             let entries = self.log.range(self.commit.next(), index);
             self.commit = index;
+            if let NodeRole::Leader(state) = &mut self.role {
+                let committed_bytes: usize = entries.iter().map(entry_bytes).sum();
+                state.uncommitted_bytes = state.uncommitted_bytes.saturating_sub(committed_bytes);
+            }
+            self.assembly = self.assembly.take().filter(|found| !found.is_overtaken(index));
             self.push(QuorumAction::Apply(entries));
         }
     }
--- a/crates/figglade/src/controller/quorum/settings.rs
+++ b/crates/figglade/src/controller/quorum/settings.rs
@@ -14,10 +14,14 @@
 pub const MAX_IN_FLIGHT: usize = 8;
 /// The entries that may wait for commitment at the leader.
 pub const MAX_UNCOMMITTED_ENTRIES: usize = 16_384;
+/// The bytes that may wait for commitment at the leader.
+pub const MAX_UNCOMMITTED_BYTES: usize = 16 << 20;
 /// The reads that may wait for confirmation at the leader.
 pub const MAX_PENDING_READS: usize = 16_384;
 /// The entries kept in memory behind a snapshot, for followers that lag a little.
 pub const TRAILING_ENTRIES: usize = 1_024;
+/// The bytes that these entries may take.
+pub const TRAILING_BYTES: usize = 2 << 20;
 /// The members a group may have, one above the advised seven so that one can be replaced.
 pub const MAX_MEMBERS: usize = 8;
 
--- a/crates/figglade/src/controller/quorum/snapshot.rs
+++ b/crates/figglade/src/controller/quorum/snapshot.rs
@@ -6,9 +6,7 @@
     InstanceId, Timestamp,
     controller::quorum::{
         LogIndex, LogSnapshot, MessageBody, QuorumAction, QuorumNode, SnapshotAnswer,
-        SnapshotChunk, Term,
-        members::MemberHistory,
-        settings::{MAX_SNAPSHOT_BYTES, TRAILING_ENTRIES},
+        SnapshotChunk, Term, members::MemberHistory, settings::MAX_SNAPSHOT_BYTES,
     },
 };
 
@@ -44,6 +42,11 @@
         }
     }
 
+    /// Returns whether the log has reached the end of the snapshot without it.
+    pub(super) fn is_overtaken(&self, commit: LogIndex) -> bool {
+        self.last_index <= commit
+    }
+
     fn is_complete(&self) -> bool {
         self.state.len() as u64 == self.total_bytes
     }
@@ -59,7 +62,7 @@
             return Vec::new();
         }
         let members = self.history.at(upto).clone();
-        if let Some(snapshot) = self.log.compact(upto, members, state, TRAILING_ENTRIES) {
+        if let Some(snapshot) = self.log.compact(upto, members, state) {
             self.history.compact(upto);
             self.push(QuorumAction::SaveSnapshot(snapshot));
         }
--- a/crates/figglade/tests/quorum_log/directed.rs
+++ b/crates/figglade/tests/quorum_log/directed.rs
@@ -102,6 +102,38 @@
     assert_ne!(entry.term, lost_term, "the command of the cut-off leader is gone");
 }
 
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let mut group = TestGroup::new(3, 0, 14);
+    group.restart_all(1);
+    let first = group.run_until_led();
+    group.commit(&first);
+    group.run_for(ELECTION_TIMEOUT_MS);
+    group.set_isolated(&first, true);
+    let (index, _) = group.propose(&first).expect("still leading");
+    group.run_until("the second leader", |group| {
+        group.leader().is_some_and(|leader| leader != first)
+    });
+    let second = group.leader().expect("a leader");
+    group.set_isolated(&second, true);
+    let voter = others(&group, &first).into_iter().find(|id| *id != second).expect("a third");
+    for pair in [(&first, &voter), (&voter, &first)] {
+        group.cut.remove(&(pair.0.clone(), pair.1.clone()));
+    }
+    group.run_until("the old entry at a majority", |group| {
+        group.member(&voter).store.last_index() == index
+    });
+    group.cut.insert((first.clone(), voter.clone()));
+    group.run_for(10);
+    assert_eq!(group.leader(), Some(first.clone()), "it leads a third term");
+    assert!(group.checker.last_committed() < index, "the entry may still be replaced");
+    group.crash(&first);
+    group.set_isolated(&second, false);
+    let third = group.run_until_led();
+    assert_eq!(third, second, "its log ends with a later term");
+    group.commit(&third);
+}
+
 #[test]
 fn a_member_with_an_emptied_disk_neither_votes_nor_campaigns() {
     let mut group = TestGroup::new(3, 0, 3);
