--- a/crates/figglade/src/controller/quorum/node.rs
+++ b/crates/figglade/src/controller/quorum/node.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns whether this member believes that it leads.
+    pub const fn is_leader(&self) -> bool {
+        matches!(self.role, NodeRole::Leader(_))
+    }
+
     /// Returns the state of the member, as it sees it.
     pub fn status(&self) -> QuorumStatus {
         let mut status = QuorumStatus {
--- a/crates/figglade/src/controller/quorum/progress.rs
+++ b/crates/figglade/src/controller/quorum/progress.rs
@@ -8,7 +8,7 @@
         AppendRequest, LogIndex, LogSnapshot, MessageBody, QuorumSettings, RoundStamp,
         SnapshotAnswer, SnapshotChunk, StorageId, Term,
         log::{EntryLog, previous},
-        settings::{MAX_IN_FLIGHT, SNAPSHOT_CHUNK_BYTES},
+        settings::{MAX_COMMAND_BYTES, MAX_IN_FLIGHT, SNAPSHOT_CHUNK_BYTES},
     },
 };
 
@@ -166,8 +166,8 @@
         let mut request =
             AppendRequest { stamp, prev_index, prev_term: prev_term?, commit, entries: Vec::new() };
         if self.may_send_entries(is_heartbeat) {
-            let (max_entries, max_bytes) = (settings.max_append_entries, settings.max_append_bytes);
-            request.entries = log.batch(self.next_index, max_entries, max_bytes);
+            let max_bytes = settings.max_append_bytes.min(MAX_COMMAND_BYTES);
+            request.entries = log.batch(self.next_index, settings.max_append_entries, max_bytes);
         }
         if request.entries.is_empty() && !is_heartbeat {
             return None;
--- a/crates/figglade/src/controller/quorum/settings.rs
+++ b/crates/figglade/src/controller/quorum/settings.rs
@@ -42,6 +42,7 @@
     pub lease_margin: Duration,
     /// The most entries of one append message.
     pub max_append_entries: usize,
-    /// The most payload bytes of one append message; one entry is always sent.
+    /// The most payload bytes of one append message, at most [`MAX_COMMAND_BYTES`]; one entry is
+    /// always sent.
     pub max_append_bytes: usize,
 }
--- a/crates/figglade/tests/quorum_log/directed.rs
+++ b/crates/figglade/tests/quorum_log/directed.rs
@@ -211,7 +211,7 @@
         group.set_isolated(&leader, true);
         group.post(&candidate, &voter, &message);
         group.run_for(ELECTION_TIMEOUT_MS / 4);
-        let stored = group.member(&voter).store.stored().hard_state;
+        let stored = group.member(&voter).store.hard_state();
         assert_eq!(stored.term, status.term, "the lease of the leader rests on this");
     }
 }
@@ -316,6 +316,23 @@
     assert_eq!(group.status(&leader).expect("running").role, QuorumRole::Follower);
 }
 
+#[test]
+fn a_leader_whose_own_removal_is_uncommitted_still_stands() {
+    let mut group = TestGroup::new(4, 0, 15);
+    let leader = group.run_until_led();
+    group.commit(&leader);
+    group.run_for(ELECTION_TIMEOUT_MS);
+    group.set_isolated(&leader, true);
+    group.change(&leader, MemberChange::Remove { id: leader.clone() }).expect("accepted");
+    group.crash(&others(&group, &leader)[0]);
+    group.run_for(2 * ELECTION_TIMEOUT_MS);
+    group.set_isolated(&leader, false);
+    let successor = group.run_until_led();
+    group.commit(&successor);
+    let members = group.status(&successor).expect("running").members;
+    assert!(!members.is_voter(&leader), "the others needed the entry that only it held");
+}
+
 #[test]
 fn unsafe_member_changes_are_refused_by_name() {
     let mut group = TestGroup::new(2, 1, 8);
--- a/crates/figglade/tests/quorum_log/group.rs
+++ b/crates/figglade/tests/quorum_log/group.rs
@@ -21,7 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    invariants::{InvariantChecker, encode_digest},
+    invariants::{InvariantChecker, check_durable, encode_digest},
     store::{MemoryStore, storage_id},
 };
 
@@ -339,6 +339,7 @@
             }
             QuorumAction::Send { to, address, message } => {
                 assert_eq!(address, member_peer(&to), "the address belongs to the receiver");
+                check_durable(&member.store, &to, &message);
                 self.post(id, &to, &message);
             }
             QuorumAction::LeaderChanged { .. } | QuorumAction::MembersChanged(_) => {}
--- a/crates/figglade/tests/quorum_log/invariants.rs
+++ b/crates/figglade/tests/quorum_log/invariants.rs
@@ -4,7 +4,11 @@
 
 use figglade::{
     InstanceId,
-    controller::quorum::{EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberSet, Term},
+    border::LogStore,
+    controller::quorum::{
+        AppendOutcome, EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberSet, MessageBody,
+        QuorumMessage, Term,
+    },
 };
 
 use crate::store::MemoryStore;
@@ -107,6 +111,23 @@
     }
 }
 
+/// Checks that a disk holds what a message promises.
+pub fn check_durable(store: &MemoryStore, to: &InstanceId, message: &QuorumMessage) {
+    let hard_state = store.hard_state();
+    assert!(message.term <= hard_state.term, "the term of a message is not durable");
+    match &message.body {
+        MessageBody::VoteAnswer(answer) if answer.is_granted => {
+            assert_eq!(hard_state.voted_for.as_ref(), Some(to), "a vote is not durable");
+        }
+        MessageBody::AppendAnswer(answer) => {
+            if let AppendOutcome::Accepted { match_index } = answer.outcome {
+                assert!(match_index <= store.last_index(), "entries are not durable");
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Encodes a digest as the start of a snapshot's state.
 pub fn encode_digest(digest: u64) -> [u8; 8] {
     digest.to_le_bytes()
--- a/crates/figglade/tests/quorum_log/store.rs
+++ b/crates/figglade/tests/quorum_log/store.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Returns the term and the vote.
+    pub fn hard_state(&self) -> &HardState {
+        &self.hard_state
+    }
+
     /// Returns the index and the term that the snapshot ends with.
     pub fn base(&self) -> (LogIndex, Term) {
         let snapshot = self.snapshot.as_ref();
