Copy the member set only where an append touches it

Every append cloned the member set to see whether it changed, although almost none carries one. The history now looks at the entries and at what they replace first, and copies the set only then.

All 26 tests pass.

--- a/crates/figglade/src/controller/quorum/members.rs
+++ b/crates/figglade/src/controller/quorum/members.rs
@@ -88,8 +88,13 @@
     /// Follows an append; returns whether the set in use changed.
     pub(super) fn follow_append(&mut self, entries: &[LogEntry]) -> bool {
         let Some(first) = entries.first() else { return false };
+        let kept = self.changes.partition_point(|(at, _)| *at < first.index);
+        let is_member_entry = |entry: &LogEntry| matches!(entry.payload, EntryPayload::Members(_));
+        if kept == self.changes.len() && !entries.iter().any(is_member_entry) {
+            return false;
+        }
         let before = self.current().clone();
-        self.changes.retain(|(at, _)| *at < first.index);
+        self.changes.truncate(kept);
         for entry in entries {
             if let EntryPayload::Members(set) = &entry.payload {
                 self.changes.push((entry.index, set.clone()));
