--- a/crates/figglade/src/controller/quorum/node.rs
+++ b/crates/figglade/src/controller/quorum/node.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns whether this member believes that it leads.
+    pub const fn is_leader(&self) -> bool {
+        matches!(self.role, NodeRole::Leader(_))
+    }
+
     /// Returns the state of the member, as it sees it.
     pub fn status(&self) -> QuorumStatus {
         let mut status = QuorumStatus {
@@ -201,7 +206,8 @@
         recorded.is_some_and(|known| known != self.settings.storage)
     }
 
-    /// Returns whether a leader was heard from within the shortest election timeout.
+    /// Returns whether a leader was heard from within the shortest election timeout; a leader asks
+    /// whether a majority was.
     pub(super) fn hears_leader(&self, now: Timestamp) -> bool {
         match &self.role {
             NodeRole::Leader(state) => {
