Count an overloaded tier that refuses nothing as a missed target

Cause: the p99 of refusals at 130% load read 0 ms and 'met' in a run in which nothing was refused. Change: without a refusal the figure is endless and the target missed. Conclusion: the check can no longer pass for want of what it checks.

--- a/crates/figglade-bench/src/check.rs
+++ b/crates/figglade-bench/src/check.rs
@@ -87,7 +87,7 @@
     add_max("extra load with a slow replica", slow.map(|run| run.extra_load), MAX_SLOW_EXTRA);
     add_max("extra load fault-free", fault_free.map(|run| run.extra_load), MAX_FAULT_FREE_EXTRA);
     add_max("added latency p50 (ms)", added_latency(&table), MAX_OVERHEAD_MS);
-    let refusal = table.tier(BenchCase::Load130).map(|run| run.refusal_p99_ms);
+    let refusal = table.tier(BenchCase::Load130).map(refusal_time);
     add_max("p99 of refusals at 130% load (ms)", refusal, MAX_REFUSAL_MS);
     checks.extend(check_goodput(&table, workload));
     checks.extend(check_coverage(&table, workload));
@@ -101,6 +101,11 @@
     Some(tier.p50_ms - direct.p50_ms)
 }
 
+/// Returns the p99 of refusals; endless where an overloaded tier refused nothing.
+const fn refusal_time(run: &RunSummary) -> f64 {
+    if run.refused == 0 { f64::INFINITY } else { run.refusal_p99_ms }
+}
+
 /// Checks that overload does not lower the goodput.
 fn check_goodput(table: &RunTable<'_>, workload: &'static str) -> Option<TargetCheck> {
     let full = table.tier(BenchCase::Load90)?;
--- a/crates/figglade-bench/tests/bench.rs
+++ b/crates/figglade-bench/tests/bench.rs
@@ -167,6 +167,7 @@
     assert_eq!(met("minimum coverage, fault_free"), Some(true));
     assert_eq!(met("minimum coverage, slow_replica"), Some(false));
     assert_eq!(met("goodput at 130% load / goodput at 90%"), Some(false));
+    assert_eq!(met("p99 of refusals at 130% load (ms)"), Some(false));
     assert_eq!(met("added latency p50 (ms)"), None);
 }
 
