Name the load cases alike in options, tables and JSON

Cause: the help said load130, the parser took load_130, and JSON wrote load130. Change: all say load_130; the test of the names compares the JSON form too. Conclusion: what a report prints can be passed back as an option.

--- a/crates/figglade-bench/src/case.rs
+++ b/crates/figglade-bench/src/case.rs
@@ -29,10 +29,13 @@
     /// One replica is ten times slower and says it is idle while all others say they are full.
     LyingLoad,
     /// Load of 60% of the slots.
+    #[serde(rename = "load_60")]
     Load60,
     /// Load of 90% of the slots.
+    #[serde(rename = "load_90")]
     Load90,
     /// Load of 130% of the slots.
+    #[serde(rename = "load_130")]
     Load130,
 }
 
--- a/crates/figglade-bench/src/main.rs
+++ b/crates/figglade-bench/src/main.rs
@@ -23,8 +23,8 @@
     workload: Vec<String>,
 
     /// Measure only this case; may be given again (overhead, fault_free, slow_replica,
-    /// stalled_replica, slow_answers, killed_replica, rolling_restart, lying_load, load60, load90,
-    /// load130)
+    /// stalled_replica, slow_answers, killed_replica, rolling_restart, lying_load, load_60, load_90,
+    /// load_130)
     #[bpaf(argument("NAME"))]
     case: Vec<BenchCase>,
 
--- a/crates/figglade-bench/tests/bench.rs
+++ b/crates/figglade-bench/tests/bench.rs
@@ -188,6 +188,7 @@
 fn names_of_cases_and_variants_are_read_back() {
     for case in BenchCase::ALL {
         assert_eq!(case.to_string().parse::<BenchCase>().expect("case"), case);
+        assert_eq!(serde_json::to_value(case).expect("json"), case.to_string());
     }
     for variant in BenchVariant::ALL {
         assert_eq!(variant.to_string().parse::<BenchVariant>().expect("variant"), variant);
