--- a/crates/figglade-bench/tests/bench.rs
+++ b/crates/figglade-bench/tests/bench.rs
@@ -167,6 +167,7 @@
     assert_eq!(met("minimum coverage, fault_free"), Some(true));
     assert_eq!(met("minimum coverage, slow_replica"), Some(false));
     assert_eq!(met("goodput at 130% load / goodput at 90%"), Some(false));
+    assert_eq!(met("p99 of refusals at 130% load (ms)"), Some(false));
     assert_eq!(met("added latency p50 (ms)"), None);
 }
 
@@ -187,6 +188,7 @@
 fn names_of_cases_and_variants_are_read_back() {
     for case in BenchCase::ALL {
         assert_eq!(case.to_string().parse::<BenchCase>().expect("case"), case);
+        assert_eq!(serde_json::to_value(case).expect("json"), case.to_string());
     }
     for variant in BenchVariant::ALL {
         assert_eq!(variant.to_string().parse::<BenchVariant>().expect("variant"), variant);
