Keep hedges from spinning and slow replicas out of the path

The hedge of a shard was tried once and given up for good when no token was left, its due time moved with every event, and a faded latency estimate sent real requests to a slow replica every few seconds. An ejection counted 30 seconds against the cap however short it was, a target that answered 503 once was avoided for ever, and a short answer closed its shard.

Each shard now holds its own due time, which is put off while there is no token or no healthy replica. Estimates no longer fade: a replica that is slow or ejected is probed by a copy beside the request, which nobody waits for, at most once a second and paid for by the hedge budget. Ejections count as long as they last and end with an answer.

Every wait of a fan-out now ends by a timer in the future, and no request waits for a replica under suspicion.

--- /dev/null
+++ b/crates/figglade/src/filter/fanout/run.rs
@@ -0,0 +1,284 @@
+//! The run of one fan-out: its start, its replies, its timer and its end.
+
+use std::sync::Arc;
+
+use rand::{Rng, RngExt};
+
+use super::{
+    AttemptKind, FanoutAction, FanoutPolicy, FanoutTools, ReplyScope, ReplyVerdict,
+    attempts::{Attempt, ShardSlot},
+};
+use crate::{
+    AttemptId, IndexName, ShardId, Timestamp,
+    border::AttemptError,
+    filter::{
+        load::AttemptEnd,
+        merge::{AskedShard, MergedAnswer, ShardResult, merge_shards},
+        routing::SnapshotRoute,
+    },
+    wire::{MissingReason, SearchReply},
+};
+
+/// The fan-out of one request over one pinned snapshot.
+#[derive(Debug)]
+pub struct FanoutRun {
+    pub(super) index: IndexName,
+    pub(super) snapshot: Arc<SnapshotRoute>,
+    pub(super) tools: Arc<FanoutTools>,
+    pub(super) policy: FanoutPolicy,
+    pub(super) deadline: Timestamp,
+    pub(super) first_attempt: u128,
+    pub(super) attempts: Vec<Attempt>,
+    pub(super) slots: Vec<ShardSlot>,
+    pub(super) open_slots: usize,
+    pub(super) probe_count: u32,
+}
+
+impl FanoutRun {
+    /// Prepares a fan-out over `shards` of `snapshot` that ends at `deadline`.
+    pub fn new(
+        index: IndexName,
+        snapshot: Arc<SnapshotRoute>,
+        shards: impl Iterator<Item = ShardId>,
+        tools: Arc<FanoutTools>,
+        policy: FanoutPolicy,
+        deadline: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Self {
+        let slots: Vec<_> = shards.map(ShardSlot::new).collect();
+        let open_slots = slots.len();
+        // The low half counts the attempts of this request.
+        let first_attempt = u128::from(rng.random::<u64>()) << 64;
+        let attempts = Vec::with_capacity(slots.len());
+        Self {
+            index,
+            snapshot,
+            tools,
+            policy,
+            deadline,
+            first_attempt,
+            attempts,
+            slots,
+            open_slots,
+            probe_count: 0,
+        }
+    }
+
+    /// Returns the pinned snapshot.
+    pub fn snapshot(&self) -> &Arc<SnapshotRoute> {
+        &self.snapshot
+    }
+
+    /// Returns whether every shard has a result.
+    pub fn is_done(&self) -> bool {
+        self.open_slots == 0
+    }
+
+    /// Returns the number of shards without a result.
+    pub fn open_shards(&self) -> usize {
+        self.open_slots
+    }
+
+    /// Returns the number of attempts sent, probes among them.
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len() + self.probe_count as usize
+    }
+
+    /// Returns whether some shard failed only because its replicas no longer hold the snapshot.
+    pub fn lost_snapshot(&self) -> bool {
+        self.slots.iter().any(|slot| {
+            matches!(slot.result, Some(ShardResult::Missing(_)))
+                && slot.last_error == Some(AttemptError::VersionNotHeld)
+        })
+    }
+
+    /// Sends the first attempt of every shard.
+    pub fn start(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<FanoutAction> {
+        let count = self.slots.len() as u32;
+        self.tools.hedges.deposit(count, self.policy.hedge_budget);
+        self.tools.retries.deposit(count, self.policy.retry_budget);
+        let mut actions = Vec::with_capacity(self.slots.len());
+        for slot in 0..self.slots.len() {
+            if self.send_attempt(slot, AttemptKind::First, now, rng, &mut actions) {
+                self.send_probe(slot, now, &mut actions);
+            } else {
+                self.close_without_replica(slot, now);
+            }
+        }
+        actions
+    }
+
+    /// Takes the outcome of an attempt.
+    pub fn handle_reply(
+        &mut self,
+        attempt: AttemptId,
+        reply: Result<SearchReply, AttemptError>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> (ReplyVerdict, Vec<FanoutAction>) {
+        let number = self.attempt_number(attempt).filter(|&number| self.attempts[number].open);
+        let Some(number) = number else {
+            return (ReplyVerdict::Late, Vec::new());
+        };
+        let mut actions = Vec::new();
+        match reply.and_then(|reply| self.check_reply(number, attempt, reply)) {
+            Ok(reply) => {
+                self.accept_reply(number, reply, now, rng, &mut actions);
+                (ReplyVerdict::Merged, actions)
+            }
+            Err(error) => {
+                self.end_attempt(number, AttemptEnd::Failed(error), now, &mut actions);
+                self.handle_failure(number, error, now, rng, &mut actions);
+                (ReplyVerdict::Failed(error), actions)
+            }
+        }
+    }
+
+    /// Returns when [`Self::handle_timer`] is due.
+    pub fn next_timer(&self) -> Timestamp {
+        let hedge = self.hedge_candidates().map(|(_, due)| due).min();
+        hedge.map_or(self.deadline, |due| due.min(self.deadline))
+    }
+
+    /// Hedges what is due and, at the deadline, closes every open shard.
+    pub fn handle_timer(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<FanoutAction> {
+        let mut actions = Vec::new();
+        if now >= self.deadline {
+            self.close_all(now, &mut actions);
+            return actions;
+        }
+        let due: Vec<_> =
+            self.hedge_candidates().filter(|(_, due)| *due <= now).map(|(slot, _)| slot).collect();
+        for slot in due {
+            self.send_hedge(slot, now, rng, &mut actions);
+        }
+        actions
+    }
+
+    /// Cancels every open attempt because the request ended early.
+    pub fn abandon(&mut self, now: Timestamp) -> Vec<FanoutAction> {
+        let mut actions = Vec::new();
+        for number in 0..self.attempts.len() {
+            if self.attempts[number].open {
+                self.cancel_attempt(number, AttemptEnd::Abandoned, now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Merges the results into at most `limit` hits.
+    pub fn finish(self, limit: usize) -> MergedAnswer {
+        let documents = &self.snapshot.documents;
+        let asked = self.slots.into_iter().map(|slot| AskedShard {
+            shard: slot.shard,
+            documents: documents[slot.shard.get() as usize],
+            result: slot.result.unwrap_or(ShardResult::Missing(MissingReason::Deadline)),
+        });
+        merge_shards(asked.collect(), limit)
+    }
+
+    fn attempt_number(&self, attempt: AttemptId) -> Option<usize> {
+        let number = usize::try_from(attempt.get().checked_sub(self.first_attempt)?).ok()?;
+        (number < self.attempts.len()).then_some(number)
+    }
+
+    fn check_reply(
+        &self,
+        number: usize,
+        attempt: AttemptId,
+        reply: SearchReply,
+    ) -> Result<SearchReply, AttemptError> {
+        let shard = self.slots[self.attempts[number].slot].shard;
+        ReplyScope { attempt, index: &self.index, shard, key: self.snapshot.key }.check(reply)
+    }
+
+    fn accept_reply(
+        &mut self,
+        number: usize,
+        reply: SearchReply,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let slot = self.attempts[number].slot;
+        self.tools.latency.observe(now.since(self.attempts[number].started));
+        self.end_attempt(number, AttemptEnd::Answered, now, actions);
+        self.slots[slot].keep_fuller(reply);
+        let manifest = self.snapshot.documents[self.slots[slot].shard.get() as usize];
+        let full = manifest.is_none_or(|documents| self.slots[slot].kept_documents() >= documents);
+        if full || !(self.retry_slot(slot, now, rng, actions) || self.has_open(slot)) {
+            self.close_slot(slot, MissingReason::Failed);
+            self.cancel_losers(slot, now, actions);
+        }
+    }
+
+    fn handle_failure(
+        &mut self,
+        number: usize,
+        error: AttemptError,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let attempt = &self.attempts[number];
+        let slot = attempt.slot;
+        match error {
+            AttemptError::VersionNotHeld => {
+                attempt.route.load.note_lack(&self.index, self.snapshot.key, now);
+            }
+            // A target that sheds needs less extra load, not more.
+            AttemptError::Shed => {
+                self.tools.hedges.shrink();
+                self.tools.retries.shrink();
+            }
+            _ => {}
+        }
+        self.slots[slot].last_error = Some(error);
+        if self.has_open(slot) {
+            self.expect_hedge(slot, now);
+        } else if !self.retry_slot(slot, now, rng, actions) {
+            self.close_slot(slot, missing_reason(error));
+        }
+    }
+
+    fn close_all(&mut self, now: Timestamp, actions: &mut Vec<FanoutAction>) {
+        for number in 0..self.attempts.len() {
+            if self.attempts[number].open {
+                let end = AttemptEnd::Failed(AttemptError::TimedOut);
+                self.cancel_attempt(number, end, now, actions);
+            }
+        }
+        for slot in 0..self.slots.len() {
+            self.close_slot(slot, MissingReason::Deadline);
+        }
+    }
+
+    fn close_without_replica(&mut self, slot: usize, now: Timestamp) {
+        let shard = self.slots[slot].shard.get() as usize;
+        let lacks =
+            |load: &super::super::load::TargetLoad| load.lacks(&self.index, self.snapshot.key, now);
+        if self.snapshot.replicas[shard].iter().any(|route| lacks(&route.load)) {
+            self.slots[slot].last_error = Some(AttemptError::VersionNotHeld);
+        }
+        self.close_slot(slot, MissingReason::NoReplica);
+    }
+
+    /// Ends a shard with what was kept of its answers, or with `reason` where there is nothing.
+    fn close_slot(&mut self, slot: usize, reason: MissingReason) {
+        let slot = &mut self.slots[slot];
+        if slot.result.is_none() {
+            slot.result = Some(slot.kept.take().unwrap_or(ShardResult::Missing(reason)));
+            self.open_slots -= 1;
+        }
+    }
+}
+
+/// Returns what the caller is told about a shard whose last attempt failed.
+fn missing_reason(error: AttemptError) -> MissingReason {
+    match error {
+        AttemptError::Shed => MissingReason::Shed,
+        AttemptError::TimedOut => MissingReason::Deadline,
+        AttemptError::VersionNotHeld | AttemptError::Draining => MissingReason::NoReplica,
+        _ => MissingReason::Failed,
+    }
+}
--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod fanout;
 pub mod latency;
+pub mod load;
 pub mod merge;
 pub mod picker;
 pub mod routing;
--- a/crates/figglade/src/filter/picker.rs
+++ b/crates/figglade/src/filter/picker.rs
@@ -11,192 +11,27 @@
 
 use rand::{Rng, RngExt};
 
+pub use super::load::{AttemptEnd, LoadRegistry, LoadView, TargetChange, TargetLoad};
 use crate::{
-    Incarnation, TargetId, Timestamp, ZoneName,
-    border::AttemptError,
-    filter::{budget::lock, routing::TargetRoute},
+    IndexName, TargetId, Timestamp, ZoneName,
+    filter::{
+        budget::lock,
+        routing::{SnapshotKey, TargetRoute},
+    },
 };
 
-/// The weight of a new latency sample.
-const LATENCY_WEIGHT: f64 = 0.2;
-/// The time constant after which an old latency estimate has faded, in seconds.
-const LATENCY_FADE_SECONDS: f64 = 10.0;
-/// The latency assumed of a target nobody has asked yet, in milliseconds.
+/// The latency assumed where no replica of a shard was asked yet, in milliseconds.
 const UNKNOWN_LATENCY_MS: f64 = 1.0;
-/// The failures in a row that eject a target.
-const EJECTION_FAILURES: u32 = 3;
-/// The shortest ejection.
-const MIN_EJECTION: Duration = Duration::from_secs(1);
-/// The longest ejection.
-const MAX_EJECTION: Duration = Duration::from_secs(30);
 /// How much worse the own zone may score before another zone is preferred.
 const OWN_ZONE_FACTOR: f64 = 1.5;
 /// How much worse a target that has just started scores.
 const COLD_START_FACTOR: f64 = 4.0;
-
-/// How an attempt ended, as the load estimate sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptEnd {
-    /// A usable answer came.
-    Answered,
-    /// The attempt failed.
-    Failed(AttemptError),
-    /// Another attempt won; the time spent is a lower bound of the latency.
-    Overtaken,
-    /// The request ended before the attempt did.
-    Abandoned,
-}
-
-/// What attempts showed of one target.
-#[derive(Debug, Default)]
-pub struct TargetLoad {
-    state: Mutex<LoadState>,
-}
-
-#[derive(Debug, Default)]
-struct LoadState {
-    in_flight: u32,
-    latency_ms: Option<f64>,
-    sampled_at: Timestamp,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Timestamp>,
-    draining: bool,
-}
-
-/// A moment's view of a target.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LoadView {
-    /// The attempts this instance has in flight.
-    pub in_flight: u32,
-    /// The estimated latency, in milliseconds; `None` before the first answer.
-    pub latency_ms: Option<f64>,
-    /// Whether the target is ejected.
-    pub ejected: bool,
-    /// Whether the target answered that it is draining.
-    pub draining: bool,
-}
-
-impl TargetLoad {
-    /// Returns the present view.
-    pub fn view(&self, now: Timestamp) -> LoadView {
-        let state = lock(&self.state);
-        let fade = |estimate: f64| {
-            let age = now.since(state.sampled_at).as_secs_f64();
-            estimate * (-age / LATENCY_FADE_SECONDS).exp()
-        };
-        LoadView {
-            in_flight: state.in_flight,
-            latency_ms: state.latency_ms.map(fade),
-            ejected: state.ejected_until.is_some_and(|until| now < until),
-            draining: state.draining,
-        }
-    }
-
-    /// Counts an attempt that starts.
-    pub fn begin_attempt(&self) {
-        lock(&self.state).in_flight += 1;
-    }
-
-    /// Counts an attempt that ends after `elapsed`; `may_eject` is asked before an ejection.
-    pub fn end_attempt(
-        &self,
-        end: AttemptEnd,
-        elapsed: Duration,
-        now: Timestamp,
-        may_eject: impl FnOnce() -> bool,
-    ) -> bool {
-        let mut state = lock(&self.state);
-        state.in_flight = state.in_flight.saturating_sub(1);
-        match end {
-            AttemptEnd::Answered => {
-                state.failures = 0;
-                state.ejections = 0;
-                state.add_sample(elapsed, now);
-                false
-            }
-            AttemptEnd::Overtaken => {
-                state.raise_sample(elapsed, now);
-                state.add_failure(now, may_eject)
-            }
-            AttemptEnd::Abandoned => false,
-            AttemptEnd::Failed(AttemptError::Draining) => {
-                state.draining = true;
-                false
-            }
-            AttemptEnd::Failed(AttemptError::Shed | AttemptError::VersionNotHeld) => false,
-            AttemptEnd::Failed(_) => state.add_failure(now, may_eject),
-        }
-    }
-}
-
-impl LoadState {
-    fn add_sample(&mut self, elapsed: Duration, now: Timestamp) {
-        let sample = elapsed.as_secs_f64() * 1_000.0;
-        let estimate = self.latency_ms.unwrap_or(sample);
-        self.latency_ms = Some(estimate + LATENCY_WEIGHT * (sample - estimate));
-        self.sampled_at = now;
-    }
-
-    /// Raises the estimate to a latency that was at least reached.
-    fn raise_sample(&mut self, elapsed: Duration, now: Timestamp) {
-        let sample = elapsed.as_secs_f64() * 1_000.0;
-        self.latency_ms = Some(self.latency_ms.unwrap_or(0.0).max(sample));
-        self.sampled_at = now;
-    }
-
-    fn add_failure(&mut self, now: Timestamp, may_eject: impl FnOnce() -> bool) -> bool {
-        self.failures += 1;
-        let ejected = self.ejected_until.is_some_and(|until| now < until);
-        if self.failures < EJECTION_FAILURES || ejected || !may_eject() {
-            return false;
-        }
-        let period = MIN_EJECTION * 2_u32.saturating_pow(self.ejections.min(5));
-        self.ejections += 1;
-        self.failures = 0;
-        self.ejected_until = Some(now + period.min(MAX_EJECTION));
-        true
-    }
-}
-
-/// The load of every target known, in shards under their own locks.
-#[derive(Debug)]
-pub struct LoadRegistry {
-    shards: Vec<RegistryShard>,
-}
-
-type RegistryShard = Mutex<HashMap<TargetId, (Incarnation, Arc<TargetLoad>)>>;
-
-/// The shards of the load registry.
-const REGISTRY_SHARDS: usize = 16;
-
-impl Default for LoadRegistry {
-    fn default() -> Self {
-        Self { shards: (0..REGISTRY_SHARDS).map(|_| Mutex::default()).collect() }
-    }
-}
-
-impl LoadRegistry {
-    /// Returns the load of `target`; a new incarnation starts with a clean one.
-    pub fn load_of(&self, target: &TargetId, incarnation: Incarnation) -> Arc<TargetLoad> {
-        let mut loads = lock(self.shard_of(target));
-        let entry = loads.entry(target.clone()).or_insert_with(|| (incarnation, Arc::default()));
-        if entry.0 != incarnation {
-            *entry = (incarnation, Arc::default());
-        }
-        Arc::clone(&entry.1)
-    }
-
-    /// Forgets a target that left.
-    pub fn forget(&self, target: &TargetId) {
-        lock(self.shard_of(target)).remove(target);
-    }
-
-    fn shard_of(&self, target: &TargetId) -> &RegistryShard {
-        let hash = xxhash_rust::xxh3::xxh3_64(target.as_str().as_bytes());
-        &self.shards[(hash % REGISTRY_SHARDS as u64) as usize]
-    }
-}
+/// How many times the latency of the best replica makes a replica slow.
+const SLOW_FACTOR: f64 = 2.0;
+/// The latency below which no replica counts as slow, in milliseconds.
+const SLOW_FLOOR_MS: f64 = 1.0;
+/// How long an ejection counts against the cap after it turned half-open without a probe.
+const HALF_OPEN_COUNTED: Duration = Duration::from_secs(5);
 
 /// Picks a replica for an attempt.
 #[derive(Debug)]
@@ -212,7 +47,7 @@
 /// Bounds how many targets may be ejected at a time.
 #[derive(Debug, Default)]
 pub struct EjectionCounter {
-    recent: Mutex<Vec<Timestamp>>,
+    ejected: Mutex<HashMap<TargetId, Timestamp>>,
     targets: AtomicU32,
 }
 
@@ -222,59 +57,128 @@
         self.targets.store(targets, Ordering::Relaxed);
     }
 
-    /// Returns whether one more target may be ejected, and counts it.
-    pub fn try_eject(&self, now: Timestamp, max_share: f64) -> bool {
-        let mut recent = lock(&self.recent);
-        recent.retain(|until| now < *until);
+    /// Returns whether `target` may be ejected until `until`, and counts it.
+    pub fn try_eject(
+        &self,
+        target: &TargetId,
+        until: Timestamp,
+        now: Timestamp,
+        max_share: f64,
+    ) -> bool {
+        let mut ejected = lock(&self.ejected);
+        ejected.retain(|_, until| now < *until + HALF_OPEN_COUNTED);
+        let others = ejected.keys().filter(|other| *other != target).count();
         let allowed = f64::from(self.targets.load(Ordering::Relaxed)) * max_share;
-        if recent.len() as f64 + 1.0 > allowed {
+        if others as f64 + 1.0 > allowed {
             return false;
         }
-        recent.push(now + MAX_EJECTION);
+        ejected.insert(target.clone(), until);
         true
     }
+
+    /// Stops counting a target that answered again.
+    pub fn release(&self, target: &TargetId) {
+        lock(&self.ejected).remove(target);
+    }
+}
+
+/// The replicas that an attempt may go to.
+#[derive(Clone, Copy, Debug)]
+pub struct PickScope<'a> {
+    /// The replicas of the shard.
+    pub replicas: &'a [Arc<TargetRoute>],
+    /// The targets tried before.
+    pub tried: &'a [TargetId],
+    /// The snapshot that the attempt needs; `None` where any will do.
+    pub snapshot: Option<(&'a IndexName, SnapshotKey)>,
+}
+
+impl<'a> PickScope<'a> {
+    /// Lists the replicas not tried yet that may hold the snapshot and do not drain.
+    fn list_untried(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&'a Arc<TargetRoute>, LoadView)> {
+        let Self { replicas, tried, snapshot } = *self;
+        replicas
+            .iter()
+            .filter(move |route| !tried.contains(&route.target))
+            .filter(move |route| {
+                !snapshot.is_some_and(|(index, key)| route.load.lacks(index, key, now))
+            })
+            .map(move |route| (route, route.load.view(now)))
+            .filter(|(_, view)| !view.draining)
+    }
+
+    /// Returns the lowest latency estimate of a replica that is not ejected.
+    fn best_latency(&self, now: Timestamp) -> Option<f64> {
+        let views = self.replicas.iter().map(|route| route.load.view(now));
+        let known = views.filter(|view| !view.ejected).filter_map(|view| view.latency_ms);
+        known.min_by(f64::total_cmp)
+    }
 }
 
 impl ReplicaPicker {
-    /// Picks the better of two random replicas that are not in `tried`, or `None` when every
-    /// replica was tried. Ejected and draining replicas are the last resort and none at all.
+    /// Picks the better of two random replicas, or `None` when every replica was tried, drains or
+    /// lacks the snapshot. Replicas that shed a moment ago and then ejected ones are last resorts.
     pub fn pick<'a>(
         &self,
-        replicas: &'a [Arc<TargetRoute>],
-        tried: &[TargetId],
+        scope: &PickScope<'a>,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Option<&'a Arc<TargetRoute>> {
-        let mut fit = Vec::with_capacity(replicas.len());
-        let mut ejected = Vec::new();
-        for route in replicas.iter().filter(|route| !tried.contains(&route.target)) {
-            let view = route.load.view(now);
-            if view.draining {
-                continue;
-            }
-            let list = if view.ejected { &mut ejected } else { &mut fit };
+        let (mut fit, mut shedding, mut ejected) = (Vec::new(), Vec::new(), Vec::new());
+        for (route, view) in scope.list_untried(now) {
+            let list = if view.ejected {
+                &mut ejected
+            } else if view.shedding {
+                &mut shedding
+            } else {
+                &mut fit
+            };
             list.push((route, view));
         }
-        let candidates = if fit.is_empty() { ejected } else { fit };
-        self.pick_better(&candidates, now, rng)
+        let lists = [fit, shedding, ejected];
+        let candidates = lists.into_iter().find(|list| !list.is_empty())?;
+        let unknown = scope.best_latency(now).unwrap_or(UNKNOWN_LATENCY_MS);
+        self.pick_better(&candidates, unknown, now, rng)
     }
 
-    /// Returns the healthy replica to hedge on, or `None` when every other one is slow too.
+    /// Returns the healthy replica to hedge on, or `None` when every other one is slow, ejected or
+    /// sheds.
     pub fn pick_hedge<'a>(
         &self,
-        replicas: &'a [Arc<TargetRoute>],
-        tried: &[TargetId],
+        scope: &PickScope<'a>,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Option<&'a Arc<TargetRoute>> {
-        let picked = self.pick(replicas, tried, now, rng)?;
+        let picked = self.pick(scope, now, rng)?;
         let view = picked.load.view(now);
-        (!view.ejected).then_some(picked)
+        let healthy = !view.ejected && !view.shedding && !is_slow(&view, scope.best_latency(now));
+        healthy.then_some(picked)
+    }
+
+    /// Claims the probe of one replica other than `asked` that is ejected or whose estimate is
+    /// slow and old. `may_spend` is asked before the probe of a slow one.
+    pub fn claim_probe<'a>(
+        &self,
+        scope: &PickScope<'a>,
+        now: Timestamp,
+        may_spend: impl Fn() -> bool,
+    ) -> Option<&'a Arc<TargetRoute>> {
+        let best = scope.best_latency(now);
+        let worth = |view: &LoadView| view.ejected || is_slow(view, best);
+        scope
+            .list_untried(now)
+            .filter(|(_, view)| worth(view))
+            .find(|(route, _)| route.load.begin_probe(now, &may_spend))
+            .map(|(route, _)| route)
     }
 
     fn pick_better<'a>(
         &self,
         candidates: &[(&'a Arc<TargetRoute>, LoadView)],
+        unknown: f64,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Option<&'a Arc<TargetRoute>> {
@@ -286,16 +190,22 @@
                 let step = rng.random_range(1..candidates.len());
                 let second = (first + step) % candidates.len();
                 let (a, b) = (&candidates[first], &candidates[second]);
-                let better = if self.score(a, now) <= self.score(b, now) { a } else { b };
+                let score = |candidate| self.score(candidate, unknown, now);
+                let better = if score(a) <= score(b) { a } else { b };
                 Some(better.0)
             }
         }
     }
 
     /// Estimates the wait at a replica, in milliseconds; lower is better.
-    fn score(&self, candidate: &(&Arc<TargetRoute>, LoadView), now: Timestamp) -> f64 {
+    fn score(
+        &self,
+        candidate: &(&Arc<TargetRoute>, LoadView),
+        unknown: f64,
+        now: Timestamp,
+    ) -> f64 {
         let (route, view) = candidate;
-        let latency = view.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS).max(0.01);
+        let latency = view.latency_ms.unwrap_or(unknown).max(0.01);
         let mut score = latency * f64::from(view.in_flight + 1);
         if route.zone != self.zone {
             score *= OWN_ZONE_FACTOR;
@@ -308,3 +218,9 @@
         score
     }
 }
+
+/// Returns whether a replica is far slower than the best one.
+fn is_slow(view: &LoadView, best: Option<f64>) -> bool {
+    let Some((latency, best)) = view.latency_ms.zip(best) else { return false };
+    latency > SLOW_FLOOR_MS && latency > best * SLOW_FACTOR
+}
--- a/crates/figglade/src/filter/routing.rs
+++ b/crates/figglade/src/filter/routing.rs
@@ -30,6 +30,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The requests it runs at a time.
+    pub slots: u32,
     /// The connections it accepts from all instances together.
     pub connections: u32,
     /// When it turned ready, as this instance saw it.
@@ -198,6 +200,7 @@
         target: announcement.target_id.clone(),
         address: announcement.address,
         zone: announcement.availability_zone.clone(),
+        slots: announcement.slots,
         connections: announcement.connections,
         ready_since: target.ready_since,
         load: registry.load_of(&announcement.target_id, announcement.incarnation),
--- /dev/null
+++ b/crates/figglade/tests/fanout_hedging.rs
@@ -0,0 +1,138 @@
+//! Hedges: late in the distribution, under a budget, never to a slow replica, never spinning.
+
+mod filter_support;
+
+use std::time::Duration;
+
+use figglade::{
+    Timestamp,
+    filter::{
+        fanout::AttemptKind,
+        picker::{AttemptEnd, LoadView},
+    },
+};
+use filter_support::{DEADLINE, TestRun, cancelled, sent, snapshot, tools};
+
+fn millis(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn test_hedge_waits_for_the_tail_and_cancels_the_loser() {
+    let (snapshot, tools) = (snapshot(10, 3), tools(30));
+    let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+    assert_eq!(run.run.next_timer(), DEADLINE, "ten open shards are no tail");
+    for sent in run.first.clone().iter().take(9) {
+        run.answer(sent, millis(5));
+    }
+    let due = run.run.next_timer();
+    assert!(due < DEADLINE);
+    let hedges = sent(&run.timer(due));
+    assert_eq!(hedges.len(), 1);
+    assert_eq!((hedges[0].kind, hedges[0].shard), (AttemptKind::Hedge, run.first[9].shard));
+    assert_ne!(hedges[0].route.target, run.first[9].route.target);
+    let actions = run.answer(&hedges[0], due + Duration::from_millis(5));
+    assert_eq!(cancelled(&actions), [run.first[9].attempt]);
+    assert!(run.run.is_done());
+}
+
+#[test]
+fn test_a_timer_that_was_handled_lies_in_the_future() {
+    let (snapshot, tools) = (snapshot(1, 3), tools(3));
+    while tools.hedges.withdraw() {}
+    let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+    let mut now = Timestamp::ZERO;
+    let mut rounds = 0;
+    while !run.run.is_done() {
+        let due = run.run.next_timer();
+        assert!(due > now, "the timer is due at {due} again at {now}");
+        now = due;
+        run.timer(now);
+        rounds += 1;
+    }
+    assert_eq!(now, DEADLINE);
+    assert!(rounds < 200, "{rounds} wake-ups");
+}
+
+#[test]
+fn test_a_hedge_without_a_token_is_sent_once_there_is_one() {
+    let (snapshot, tools) = (snapshot(1, 3), tools(3));
+    while tools.hedges.withdraw() {}
+    let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+    let due = run.run.next_timer();
+    assert!(sent(&run.timer(due)).is_empty());
+    tools.hedges.deposit(2, 1.0);
+    let due = run.run.next_timer();
+    assert_eq!(sent(&run.timer(due)).len(), 1);
+}
+
+#[test]
+fn test_no_hedge_goes_to_a_replica_that_is_itself_slow() {
+    let (snapshot, tools) = (snapshot(1, 2), tools(2));
+    let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+    let asked = &run.first[0].route;
+    let other = snapshot.replicas[0].iter().find(|route| route.target != asked.target);
+    let other = other.expect("two replicas");
+    for (route, elapsed) in [(asked, 5), (other, 500)] {
+        let elapsed = Duration::from_millis(elapsed);
+        route.load.begin_attempt();
+        route.load.end_attempt(AttemptEnd::Answered, elapsed, Timestamp::ZERO, |_| false);
+    }
+    let due = run.run.next_timer();
+    assert!(sent(&run.timer(due)).is_empty());
+}
+
+#[test]
+fn test_a_slow_replica_is_probed_beside_the_request_once_a_period() {
+    let (snapshot, tools) = (snapshot(1, 2), tools(2));
+    let slow = &snapshot.replicas[0][0];
+    for (route, elapsed) in [(slow, 200), (&snapshot.replicas[0][1], 20)] {
+        route.load.begin_attempt();
+        let elapsed = Duration::from_millis(elapsed);
+        route.load.end_attempt(AttemptEnd::Answered, elapsed, Timestamp::ZERO, |_| false);
+    }
+    let mut probes = 0;
+    for step in 1..=40 {
+        let now = millis(step * 100);
+        let run = TestRun::start(&snapshot, &tools, now);
+        for attempt in &run.first {
+            if attempt.kind == AttemptKind::Probe {
+                assert_eq!(attempt.route.target, slow.target);
+                probes += 1;
+                continue;
+            }
+            assert_ne!(attempt.route.target, slow.target, "a request waits for a slow replica");
+            let elapsed = Duration::from_millis(20);
+            attempt.route.load.end_attempt(AttemptEnd::Answered, elapsed, now, |_| false);
+        }
+    }
+    assert_eq!(probes, 4);
+    // The replica recovers: the answers to probes bring it back into the choice.
+    for step in 0..8 {
+        let now = millis(5_000 + step * 1_000);
+        assert!(slow.load.begin_probe(now, || true));
+        slow.load.end_probe(Ok(()), Duration::from_millis(20), now, |_| false);
+    }
+    let LoadView { latency_ms, .. } = slow.load.view(millis(13_000));
+    assert!(latency_ms.is_some_and(|latency| latency < 40.0), "{latency_ms:?}");
+}
+
+#[test]
+fn test_extra_load_stays_within_the_budget_when_every_replica_stalls() {
+    let (snapshot, tools) = (snapshot(10, 3), tools(30));
+    let (mut first, mut hedges) = (0, 0);
+    for _ in 0..200 {
+        let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+        first += run.first.len();
+        for attempt in run.first.clone().iter().take(8) {
+            run.answer(attempt, millis(1));
+        }
+        while !run.run.is_done() {
+            let due = run.run.next_timer();
+            hedges += sent(&run.timer(due)).len();
+        }
+    }
+    // The initial tokens and 2% of the first attempts.
+    assert!(hedges > 0);
+    assert!(hedges <= 10 + first * 2 / 100, "{hedges} hedges for {first} first attempts");
+}
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -4,10 +4,13 @@
 
 use bytes::Bytes;
 use figglade::{
-    AttemptId, RequestId, Timestamp,
+    AttemptId, RequestId, ShardId, Timestamp,
     border::{ActionRecord, AttemptError, BodyDigest, ClaimDecision, ClaimError, ClaimRequest},
     controller::event::EventKind,
-    filter::routing::TargetRoute,
+    filter::{
+        picker::{AttemptEnd, PickScope},
+        routing::TargetRoute,
+    },
     wire::{ActCall, ActReply, ActionOutcome, ActionRequest, ActionResponse},
 };
 use serde_json::value::RawValue;
@@ -151,10 +154,11 @@
         loop {
             let now = self.now();
             let picker = &view.tools.picker;
-            let picked = picker.pick(replicas, &tried, now, &mut rand::rng());
+            let scope = PickScope { replicas, tried: &tried, snapshot: None };
+            let picked = picker.pick(&scope, now, &mut rand::rng()).map(Arc::clone);
             let Some(route) = picked else { return SendEnd::NotRun(AttemptError::NotSent) };
             tried.push(route.target.clone());
-            let end = self.send_act(plan, route, shard, now).await;
+            let end = self.send_act(plan, view, &route, shard).await;
             match end {
                 Ok(reply) => return SendEnd::Done(reply.result),
                 Err(AttemptError::NotSent) if self.now() < plan.deadline => {}
@@ -167,10 +171,11 @@
     async fn send_act(
         &self,
         plan: &ActionPlan,
+        view: &IndexView,
         route: &TargetRoute,
-        shard: figglade::ShardId,
-        now: Timestamp,
+        shard: ShardId,
     ) -> Result<ActReply, AttemptError> {
+        let now = self.now();
         let attempt = AttemptId::new(rand::random());
         let request = &plan.request;
         let call = ActCall {
@@ -190,11 +195,13 @@
             if matches { Ok(reply) } else { Err(AttemptError::Mismatched) }
         });
         let end = match &reply {
-            Ok(_) => figglade::filter::picker::AttemptEnd::Answered,
-            Err(error) => figglade::filter::picker::AttemptEnd::Failed(*error),
+            Ok(_) => AttemptEnd::Answered,
+            Err(error) => AttemptEnd::Failed(*error),
         };
-        let now_ended = self.now();
-        route.load.end_attempt(end, now_ended.since(now), now_ended, || false);
+        let ended = self.now();
+        let max_ejected = view.settings.max_ejected;
+        let change = view.tools.end_attempt(route, end, ended.since(now), ended, max_ejected);
+        self.note_change(&route.target, change, request.request_id);
         reply
     }
 
--- a/crates/figgladed/src/tier/query.rs
+++ b/crates/figgladed/src/tier/query.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use figglade::{
-    AttemptId, IndexName, RequestId, ShardId, Timestamp,
+    AttemptId, IndexName, RequestId, ShardId, TargetId, Timestamp,
     border::AttemptError,
     controller::event::EventKind,
     filter::{
-        fanout::{AttemptKind, FanoutAction, FanoutRun, ReplyVerdict},
+        fanout::{AttemptKind, FanoutAction, FanoutRun, ReplyScope, ReplyVerdict},
         merge::MergedAnswer,
+        picker::TargetChange,
         routing::{SnapshotKey, SnapshotRoute, TargetRoute},
     },
     wire::{CancelCall, LookupRequest, QueryRequest, QueryResponse, SearchCall, SearchReply},
@@ -16,10 +17,14 @@
 use serde_json::value::RawValue;
 use tokio::sync::mpsc;
 
-use super::{IndexView, QueryTier, Refusal, TierError, fanout_policy, millis_left, validate};
+use super::{
+    ControlView, IndexView, QueryTier, Refusal, TierError, fanout_policy, millis_left, validate,
+};
 
 /// The most times a request starts again because its snapshot vanished.
 const MAX_RESTARTS: usize = 2;
+/// The longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One search, whether over every shard or over the one that owns a key.
 struct SearchPlan {
@@ -158,7 +163,7 @@
         let run = Some(plan.make_run(view, &snapshot));
         let mut guard = RunGuard { tier: self, run };
         let actions = guard.run().start(self.now(), &mut rand::rng());
-        self.run_actions(plan, &snapshot, &sender, actions);
+        self.run_actions(plan, view, &snapshot, &sender, actions);
         while !guard.run().is_done() {
             let due = self.parts.clock.instant_of(guard.run().next_timer());
             let actions = tokio::select! {
@@ -171,7 +176,7 @@
                     guard.run().handle_timer(self.now(), &mut rand::rng())
                 }
             };
-            self.run_actions(plan, &snapshot, &sender, actions);
+            self.run_actions(plan, view, &snapshot, &sender, actions);
         }
         guard.finish(plan)
     }
@@ -191,6 +196,7 @@
     fn run_actions(
         &self,
         plan: &SearchPlan,
+        view: &IndexView,
         snapshot: &SnapshotRoute,
         sender: &mpsc::UnboundedSender<AttemptOutcome>,
         actions: Vec<FanoutAction>,
@@ -203,9 +209,12 @@
                     self.send_search(call, &route, plan.deadline, sender.clone());
                 }
                 FanoutAction::Cancel { attempt, route } => self.cancel_attempt(attempt, &route),
-                FanoutAction::Ejected { target } => {
-                    let detail = format!("target {target} was ejected");
-                    self.parts.control.note(EventKind::TargetEjected, Some(plan.request), detail);
+                FanoutAction::Probe { attempt, shard, route } => {
+                    let call = plan.search_call(attempt, shard, snapshot.key, self.now());
+                    self.send_probe(plan, view, call, snapshot.key, route);
+                }
+                FanoutAction::Changed { target, change } => {
+                    self.note_change(&target, change, plan.request);
                 }
             }
         }
@@ -220,7 +229,7 @@
     ) {
         self.parts.metrics.count_attempts(kind, 1);
         let event = match kind {
-            AttemptKind::First => return,
+            AttemptKind::First | AttemptKind::Probe => return,
             AttemptKind::Hedge => EventKind::HedgeSent,
             AttemptKind::Retry => EventKind::RetrySent,
         };
@@ -244,6 +253,36 @@
         });
     }
 
+    /// Sends a probe whose answer only shows whether the target recovered.
+    fn send_probe(
+        &self,
+        plan: &SearchPlan,
+        view: &IndexView,
+        call: SearchCall,
+        key: SnapshotKey,
+        route: Arc<TargetRoute>,
+    ) {
+        self.parts.metrics.count_attempts(AttemptKind::Probe, 1);
+        let (attempt, shard, index) = (call.attempt_id, call.shard, call.index.clone());
+        let timeout = plan.deadline.since(self.now()).min(PROBE_TIMEOUT);
+        let answer = self.parts.client.search(&self.endpoint_of(&route), call, timeout);
+        let (clock, control) = (self.parts.clock, Arc::clone(&self.parts.control));
+        let (tools, max_ejected) = (Arc::clone(&view.tools), view.settings.max_ejected);
+        let (started, request) = (self.now(), plan.request);
+        tokio::spawn(async move {
+            let scope = ReplyScope { attempt, index: &index, shard, key };
+            let answer = answer.await.and_then(|reply| scope.check(reply)).map(|_| ());
+            let now = clock.now();
+            let change = tools.end_probe(&route, answer, now.since(started), now, max_ejected);
+            note_change(&*control, &route.target, change, request);
+        });
+    }
+
+    /// Notes that a target was ejected or returned.
+    pub(super) fn note_change(&self, target: &TargetId, change: TargetChange, request: RequestId) {
+        note_change(&*self.parts.control, target, change, request);
+    }
+
     fn cancel_attempt(&self, attempt: AttemptId, route: &TargetRoute) {
         let call = CancelCall { attempt_id: attempt };
         self.parts.client.cancel(&self.endpoint_of(route), call);
@@ -358,6 +397,20 @@
     }
 }
 
+fn note_change(
+    control: &dyn ControlView,
+    target: &TargetId,
+    change: TargetChange,
+    request: RequestId,
+) {
+    let kind = match change {
+        TargetChange::None => return,
+        TargetChange::Ejected => EventKind::TargetEjected,
+        TargetChange::Returned => EventKind::TargetReturned,
+    };
+    control.note(kind, Some(request), format!("target {target}"));
+}
+
 /// Returns when the answer must be ready; half of a short deadline is left for the search.
 fn answer_by(received: Timestamp, deadline_ms: u64, margin_ms: u64) -> Timestamp {
     let margin = margin_ms.min(deadline_ms / 2);
