Give operators a command line over the operator interface

Cause: the binary had only the trial run, so that nothing of the operator interface could be used without writing requests by hand.

--- /dev/null
+++ b/crates/figglade-cli/src/client/error.rs
@@ -0,0 +1,124 @@
+//! The reasons a request has no good answer.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use derive_more::{Display, Error};
+use figglade::wire::ActionOutcome;
+use hyper::StatusCode;
+use serde_json::Value;
+
+/// The reason a request has no good answer.
+#[derive(Clone, Debug, Display, Error)]
+pub enum ClientError {
+    /// No instance was named.
+    #[display("no instance is named; give --addr IP:PORT")]
+    NoAddress,
+    /// The key file cannot be used.
+    #[display("{}: {reason}; it must hold one key a line, of printable ASCII characters", path.display())]
+    KeyFile {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        reason: String,
+    },
+    /// The request could not be built.
+    #[display("{path}: {reason}")]
+    BadRequest {
+        /// The path.
+        path: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// No connection came about, so that nothing was sent.
+    #[display("{address}: cannot connect: {reason}")]
+    NotConnected {
+        /// The instance.
+        address: SocketAddr,
+        /// What the system said.
+        reason: String,
+    },
+    /// The connection was lost before the answer.
+    #[display("{address}: the answer was lost: {reason}")]
+    Lost {
+        /// The instance.
+        address: SocketAddr,
+        /// What the library said.
+        reason: String,
+    },
+    /// No answer came in time.
+    #[display("{address}: no answer within {} ms", waited.as_millis())]
+    TimedOut {
+        /// The instance.
+        address: SocketAddr,
+        /// The time waited.
+        waited: Duration,
+    },
+    /// The answer cannot be understood.
+    #[display("{address}: the answer cannot be understood: {reason}")]
+    BadAnswer {
+        /// The instance.
+        address: SocketAddr,
+        /// What is wrong.
+        reason: String,
+    },
+    /// The instance refused.
+    Refused(#[error(not(source))] Box<Refusal>),
+}
+
+/// A refusal by an instance.
+#[derive(Clone, Debug, Display)]
+#[display("{address}: refused with {} {code}: {message}", status.as_u16())]
+pub struct Refusal {
+    /// The instance.
+    pub address: SocketAddr,
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The code for programs.
+    pub code: String,
+    /// The sentence for people.
+    pub message: String,
+    /// What became of the request.
+    pub outcome: ActionOutcome,
+    /// The whole body.
+    pub body: Value,
+}
+
+impl Refusal {
+    /// Reads the body of a refusal; an outcome that is not stated is unknown.
+    pub(super) fn read(address: SocketAddr, status: StatusCode, body: Value) -> Self {
+        let text = |name: &str| body.get(name).and_then(Value::as_str).unwrap_or("?").to_owned();
+        let outcome = text("outcome").parse().unwrap_or(ActionOutcome::Unknown);
+        Self { address, status, code: text("error_code"), message: text("message"), outcome, body }
+    }
+}
+
+impl ClientError {
+    /// Returns the refusal, where an instance gave one.
+    pub fn refusal(&self) -> Option<&Refusal> {
+        match self {
+            Self::Refused(refusal) => Some(refusal),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the request may have taken effect all the same.
+    pub fn is_uncertain(&self) -> bool {
+        match self {
+            Self::Lost { .. } | Self::TimedOut { .. } | Self::BadAnswer { .. } => true,
+            Self::Refused(refusal) => refusal.outcome == ActionOutcome::Unknown,
+            _ => false,
+        }
+    }
+
+    /// Returns whether another instance may do better with the same request.
+    pub fn may_pass_elsewhere(&self) -> bool {
+        match self {
+            Self::NotConnected { .. }
+            | Self::Lost { .. }
+            | Self::TimedOut { .. }
+            | Self::BadAnswer { .. } => true,
+            Self::Refused(refusal) => refusal.status == StatusCode::SERVICE_UNAVAILABLE,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/figglade-cli/src/control/group.rs
@@ -0,0 +1,144 @@
+//! Reads and changes the control group.
+
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+use figglade::controller::quorum::QuorumRole;
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+
+use super::ControlError;
+use crate::{
+    args::ConnectOptions,
+    client::{Call, ClientError, OperatorClient},
+    reply::{MembersReply, QuorumView},
+};
+
+/// The path of the members.
+const MEMBERS_PATH: &str = "/v1/operator/members";
+/// The pause between two looks at the group.
+const POLL_PERIOD: Duration = Duration::from_millis(300);
+/// The refusals that pass by themselves, by words of their message. The last three contradict the
+/// group that was read, which was outdated then and is read again.
+const PASSING_REFUSALS: &[&str] = &[
+    "has not caught up",
+    "has not reported its storage",
+    "is not committed yet",
+    "has not committed an entry of its term",
+    "leadership is being transferred",
+    "does not lead",
+    "too few voters",
+    "is already a member",
+    "is already a voter",
+    "is not a member",
+];
+
+/// The control group as a command sees it.
+#[derive(Debug)]
+pub(super) struct GroupClient {
+    client: OperatorClient,
+    give_up: Instant,
+    timeout: Duration,
+    shown: RefCell<String>,
+}
+
+impl GroupClient {
+    /// Opens the group; its changes end at `give_up`.
+    pub(super) fn new(
+        connect: &ConnectOptions,
+        give_up: Instant,
+        timeout: Duration,
+    ) -> Result<Self, ClientError> {
+        let client = OperatorClient::new(connect)?;
+        Ok(Self { client, give_up, timeout, shown: RefCell::default() })
+    }
+
+    /// Reads the group from its leader, else from any control member.
+    pub(super) async fn read(&self) -> Result<QuorumView, ControlError> {
+        let members: MembersReply = self.client.get(MEMBERS_PATH).await?.decode()?;
+        let mut best = members.control.clone();
+        if best.as_ref().is_some_and(|view| view.role == QuorumRole::Leader) {
+            return Ok(best.expect("it was just looked at"));
+        }
+        for member in members.live() {
+            let Ok(reply) = self.client.send(member.http, &Call::get(MEMBERS_PATH)).await else {
+                continue;
+            };
+            let Some(view) = reply.decode::<MembersReply>()?.control else { continue };
+            // An isolated member may still believe that it leads an earlier term.
+            let rank = |view: &QuorumView| (view.role == QuorumRole::Leader, view.term);
+            if best.as_ref().is_none_or(|best| rank(&view) > rank(best)) {
+                best = Some(view);
+            }
+        }
+        best.ok_or(ControlError::NoControlMember)
+    }
+
+    /// Sends a change until `is_done` holds of the group. A change whose outcome is open is sent
+    /// again only after another look.
+    pub(super) async fn change_until(
+        &self,
+        body: &Value,
+        is_done: impl Fn(&QuorumView) -> Result<bool, ControlError>,
+    ) -> Result<(), ControlError> {
+        let call = Call::with_body(Method::POST, MEMBERS_PATH, body);
+        loop {
+            let last = match self.read().await {
+                Ok(view) if is_done(&view)? && view.pending_change.is_none() => return Ok(()),
+                Ok(view) if is_done(&view)? => "the change is not committed yet".to_owned(),
+                Ok(view) => {
+                    self.show_progress(&view, body);
+                    self.send_change(&call).await?
+                }
+                Err(ControlError::Client(error)) if error.may_pass_elsewhere() => error.to_string(),
+                Err(error) => return Err(error),
+            };
+            if Instant::now() >= self.give_up {
+                let waited_ms = self.timeout.as_millis();
+                return Err(ControlError::TimedOut { waited_ms, last });
+            }
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    }
+
+    /// Sends a change once; returns what was seen where it may succeed later.
+    async fn send_change(&self, call: &Call) -> Result<String, ControlError> {
+        let mut last = ClientError::NoAddress;
+        for &address in self.client.addresses() {
+            match self.client.send(address, call).await {
+                Ok(_) => return Ok("the change was accepted".to_owned()),
+                // Surely not sent: another instance may take it.
+                Err(error @ ClientError::NotConnected { .. }) => last = error,
+                Err(error) if is_passing(&error) => return Ok(error.to_string()),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(last.to_string())
+    }
+
+    /// Tells how far the log of the member that changes has come.
+    fn show_progress(&self, view: &QuorumView, body: &Value) {
+        let Some(id) = body.get("id").and_then(Value::as_str) else { return };
+        if !view.members.keys().any(|member| member.as_str() == id) {
+            return;
+        }
+        let held = view.progress.iter().find(|(member, _)| member.as_str() == id);
+        let Some((_, held)) = held else { return };
+        let line = format!("{id} holds {held} of {} entries", view.commit);
+        if self.shown.replace(line.clone()) != line {
+            eprintln!("{line}");
+        }
+    }
+}
+
+/// Returns whether the same change may succeed a little later.
+fn is_passing(error: &ClientError) -> bool {
+    match error.refusal() {
+        Some(refusal) if refusal.status == StatusCode::CONFLICT => {
+            PASSING_REFUSALS.iter().any(|words| refusal.message.contains(words))
+        }
+        _ => error.may_pass_elsewhere(),
+    }
+}
--- /dev/null
+++ b/crates/figglade-cli/src/error.rs
@@ -0,0 +1,72 @@
+//! The reasons a command fails.
+
+use std::path::PathBuf;
+
+use derive_more::{Display, Error, From};
+
+use crate::{
+    EXIT_FAILED, EXIT_USAGE, client::ClientError, config::ConfigError, control::ControlError,
+    try_tier::TryError,
+};
+
+/// The reason a command failed.
+#[derive(Debug, Display, Error, From)]
+pub enum CliError {
+    /// The trial failed.
+    #[display("try: {_0}")]
+    Try(TryError),
+    /// The tier refused or could not be reached.
+    Client(ClientError),
+    /// A configuration command failed.
+    Config(ConfigError),
+    /// A change of the control group failed.
+    Control(ControlError),
+    /// A file could not be written.
+    #[display("{}: cannot write: {reason}", path.display())]
+    #[from(ignore)]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        reason: String,
+    },
+    /// An argument cannot be used.
+    #[display("{name}: {value} is refused; {allowed}")]
+    #[from(ignore)]
+    Usage {
+        /// The argument.
+        name: &'static str,
+        /// Its value.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// The action was not seen to be done.
+    #[display("action {request}: {outcome}: {reason}")]
+    #[from(ignore)]
+    NotDone {
+        /// The request.
+        request: figglade::RequestId,
+        /// What became of it.
+        outcome: figglade::wire::ActionOutcome,
+        /// Why.
+        reason: String,
+    },
+    /// No instance told its events.
+    #[display("no instance answered with its events: {reason}")]
+    #[from(ignore)]
+    NoEvents {
+        /// What was tried.
+        reason: String,
+    },
+}
+
+impl CliError {
+    /// Returns the exit code of the process.
+    pub const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage { .. } => EXIT_USAGE,
+            _ => EXIT_FAILED,
+        }
+    }
+}
--- a/crates/figglade-cli/src/try_tier.rs
+++ b/crates/figglade-cli/src/try_tier.rs
@@ -33,7 +33,7 @@
 
 /// The reason the trial failed.
 #[derive(Debug, Display, Error, From)]
-pub(crate) enum TryError {
+pub enum TryError {
     /// The settings are wrong.
     Settings(SettingsError),
     /// The instance did not start.
@@ -57,7 +57,11 @@
 }
 
 /// Starts an embedded tier and prints the answers to three requests.
-pub(crate) async fn run_try() -> Result<(), TryError> {
+///
+/// # Errors
+///
+/// Fails when the tier does not start or an answer is not the one expected.
+pub async fn run_try() -> Result<(), TryError> {
     let folder = tempfile::tempdir()?;
     let settings = embedded_settings(folder.path())?;
     let log = slog::Logger::root(slog::Discard, slog::o!());
