Split the service of the stand-in target

Cause: one file held the handlers, the refusals and the falsified answers. Change: refusals and body reading, and the falsified answers, have modules of their own; no behaviour changes.

--- a/crates/figglade-testkit/src/stand_in/service.rs
+++ b/crates/figglade-testkit/src/stand_in/service.rs
@@ -5,28 +5,22 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use figglade::{
-    AttemptId, IndexVersion, ShardId,
-    wire::{
-        ActCall, ActReply, ActionOutcome, CancelCall, ErrorBody, SearchCall, SearchReply,
-        TargetState,
-    },
+    AttemptId,
+    wire::{ActCall, ActReply, CancelCall, SearchCall, SearchReply, TargetState},
 };
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, body::Incoming};
-use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use super::{
     answer::{AnswerBody, build_answer, plain_answer},
     control::{ControlChange, StandInControl},
     core::{RanAction, StandInCore, count},
+    falsify::{falsify_reply, other_attempt},
+    refusal::{Refusal, read_body},
     register::RegisterSlice,
     settings::{AnswerFault, ResetPoint},
 };
 
-/// The largest request body, in bytes.
-const MAX_REQUEST_BYTES: usize = 4 << 20;
-
 /// The status of a request that was cancelled.
 const STATUS_CANCELLED: u16 = 499;
 
@@ -42,32 +36,6 @@
     Raw(Bytes),
 }
 
-/// The reason a request was not answered with 200.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Refusal {
-    status: u16,
-    code: &'static str,
-    message: String,
-}
-
-impl Refusal {
-    /// Creates a refusal.
-    fn new(status: u16, code: &'static str, message: impl Into<String>) -> Self {
-        Self { status, code, message: message.into() }
-    }
-
-    /// Builds the answer.
-    fn into_answer(self) -> Response<AnswerBody> {
-        let body = ErrorBody {
-            error_code: self.code.to_owned(),
-            message: self.message,
-            field: None,
-            outcome: ActionOutcome::NotRun,
-        };
-        plain_answer(self.status, &body)
-    }
-}
-
 /// Why a request handler stopped before its answer.
 enum Stop {
     Refused(Refusal),
@@ -340,38 +308,3 @@
         AnswerFault::None
     }
 }
-
-/// Makes the answer of a search wrong where the fault asks for it.
-fn falsify_reply(reply: SearchReply, fault: AnswerFault) -> SearchReply {
-    match fault {
-        AnswerFault::WrongAttempt => {
-            SearchReply { attempt_id: other_attempt(reply.attempt_id), ..reply }
-        }
-        AnswerFault::WrongVersion => {
-            SearchReply { version: IndexVersion::new(reply.version.get() + 1), ..reply }
-        }
-        AnswerFault::WrongShard => {
-            SearchReply { shard: ShardId::new(reply.shard.get() + 1), ..reply }
-        }
-        AnswerFault::DoubledHits => {
-            let hits = reply.hits.iter().flat_map(|hit| [hit.clone(), hit.clone()]).collect();
-            SearchReply { hits, ..reply }
-        }
-        _ => reply,
-    }
-}
-
-/// Returns the identifier of an attempt that was never made.
-const fn other_attempt(attempt: AttemptId) -> AttemptId {
-    AttemptId::new(attempt.get() ^ 1)
-}
-
-/// Reads the body of a request.
-async fn read_body<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Refusal> {
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES)
-        .collect()
-        .await
-        .map_err(|error| Refusal::new(400, "bad_body", error.to_string()))?
-        .to_bytes();
-    serde_json::from_slice(&body).map_err(|error| Refusal::new(400, "bad_body", error.to_string()))
-}
