Slow the heartbeats of the quorum log to fit the control budget

Cause: a leader of three spends about 7.2 KB/s on heartbeats every 100 ms; the budget of a node is 4 KB/s. Change: heartbeats every 250 ms, elections after 1 to 2 s, a lease margin of 150 ms.

--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -579,8 +579,8 @@
 }
 
 /// The time between heartbeats of the leader.
-pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(100);
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
 /// The shortest time without a leader before an election.
-pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+pub const ELECTION_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The part of the election timeout kept off the lease against clock drift.
-pub const LEASE_MARGIN: Duration = Duration::from_millis(100);
+pub const LEASE_MARGIN: Duration = Duration::from_millis(150);
