Reserve a connection for instances without a lease and mark stale answers

Cause: six seconds after the loss of the control group every instance had closed its connections, so that answers, though allowed, covered nothing. Change: holder sets name up to ten instances that keep one connection to each target with a cap of 20 or more for an hour after their lease; the division counts them. Answers of a stale instance say so. One test demanded that a cut-off instance closes everything; it now demands exactly the reserved connections, the whole cap in sum, and the rest after an hour.

--- a/crates/figglade/src/controller/share/division.rs
+++ b/crates/figglade/src/controller/share/division.rs
@@ -2,11 +2,27 @@
 
 use std::collections::BTreeSet;
 
+use super::types::{HolderSet, MIN_RESERVED_CAP};
 use crate::{
     InstanceId, TargetId,
     controller::{membership::digest::hash_key, watch::rank_member},
 };
 
+/// Returns the share of `me` in the cap of `target` under `set`.
+///
+/// Each instance with a reserved connection gets that one, and the rest is divided among the
+/// holders. Both together add up to at most `cap`. Small caps have no reserved connections.
+pub fn share_under(cap: u32, target: &TargetId, set: &HolderSet, me: &InstanceId) -> u32 {
+    let reserved = if cap >= MIN_RESERVED_CAP { set.reserved.len() as u32 } else { 0 };
+    let divided = share_of(cap.saturating_sub(reserved), target, &set.holders, me);
+    divided + reserved_share(cap, set, me)
+}
+
+/// Returns the connections that `me` keeps without a lease under `set`.
+pub fn reserved_share(cap: u32, set: &HolderSet, me: &InstanceId) -> u32 {
+    u32::from(cap >= MIN_RESERVED_CAP && set.reserved.contains(me))
+}
+
 /// Returns the share of `me` in the cap of `target`; the shares of all holders add up to `cap`.
 ///
 /// Each holder gets the same number of connections, and what is left over goes to the holders that
--- a/crates/figglade/src/controller/share/holder.rs
+++ b/crates/figglade/src/controller/share/holder.rs
@@ -1,13 +1,10 @@
 //! The side of connection shares that runs at each instance.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    division::share_of,
-    types::{LeasePhase, ShareEpoch, ShareGrant, ShareRequest, ShareTiming},
+    division::{reserved_share, share_under},
+    types::{HolderSet, LeasePhase, ShareEpoch, ShareGrant, ShareRequest, ShareTiming},
 };
 use crate::{Incarnation, InstanceId, TargetId, Timestamp, controller::quorum::Term};
 
@@ -28,10 +25,12 @@
     incarnation: Incarnation,
     timing: ShareTiming,
     term: Term,
-    epochs: BTreeMap<ShareEpoch, BTreeSet<InstanceId>>,
+    epochs: BTreeMap<ShareEpoch, HolderSet>,
     usable: Option<ShareEpoch>,
     acked: ShareEpoch,
     lease_end: Option<Timestamp>,
+    /// Until when the reserved connections may be used after a lease that ran out.
+    reserve_end: Option<Timestamp>,
     next_request: Timestamp,
     released: bool,
 }
@@ -53,6 +52,7 @@
             usable: None,
             acked: ShareEpoch::default(),
             lease_end: None,
+            reserve_end: None,
             next_request: now,
             released: false,
         }
@@ -76,6 +76,7 @@
         self.released = true;
         self.usable = None;
         self.lease_end = None;
+        self.reserve_end = None;
         self.build_request()
     }
 
@@ -117,16 +118,18 @@
     /// Returns the connections that the instance may have to `target` when new ones are wanted.
     pub fn connection_share(&self, target: &TargetId, cap: u32, now: Timestamp) -> u32 {
         match self.lease_phase(now) {
-            LeasePhase::Held => self.held_share(target, cap),
-            LeasePhase::Closing | LeasePhase::Expired => 0,
+            LeasePhase::Held => self.held_share(target, cap).max(self.kept_share(cap, now)),
+            LeasePhase::Closing | LeasePhase::Expired => self.kept_share(cap, now),
         }
     }
 
     /// Returns the connections that may stay open to `target` while requests run on them.
     pub fn open_limit(&self, target: &TargetId, cap: u32, now: Timestamp) -> u32 {
         match self.lease_phase(now) {
-            LeasePhase::Held | LeasePhase::Closing => self.held_share(target, cap),
-            LeasePhase::Expired => 0,
+            LeasePhase::Held | LeasePhase::Closing => {
+                self.held_share(target, cap).max(self.kept_share(cap, now))
+            }
+            LeasePhase::Expired => self.kept_share(cap, now),
         }
     }
 
@@ -149,7 +152,8 @@
     /// Returns whether the instance may connect to targets at all.
     pub fn holds_share(&self, now: Timestamp) -> bool {
         let Some(usable) = self.usable else { return false };
-        let named = self.epochs.range(usable..).all(|(_, all)| all.contains(&self.instance));
+        let sets = || self.epochs.range(usable..).map(|(_, set)| set);
+        let named = sets().all(|set| set.holders.contains(&self.instance));
         named && self.lease_phase(now) == LeasePhase::Held
     }
 
@@ -162,13 +166,29 @@
     fn held_share(&self, target: &TargetId, cap: u32) -> u32 {
         let Some(usable) = self.usable else { return 0 };
         let shares = self.epochs.range(usable..);
-        shares.map(|(_, holders)| share_of(cap, target, holders, &self.instance)).min().unwrap_or(0)
+        let least = shares.map(|(_, set)| share_under(cap, target, set, &self.instance)).min();
+        least.unwrap_or(0)
+    }
+
+    /// Returns the connections to a target that the instance keeps without a usable epoch.
+    fn kept_share(&self, cap: u32, now: Timestamp) -> u32 {
+        let lease_end = self.lease_end.filter(|_| self.usable.is_some());
+        let kept_end = lease_end.map(|end| end + self.timing.reserve);
+        // A new instance has nothing reserved before its first epoch is usable.
+        let Some(end) = self.reserve_end.or(kept_end) else { return 0 };
+        if now >= end {
+            return 0;
+        }
+        // An epoch that takes the reserved connection away was waited for by the leader.
+        let from = self.usable.unwrap_or_default();
+        let sets = self.epochs.range(from..).map(|(_, set)| set);
+        sets.map(|set| reserved_share(cap, set, &self.instance)).min().unwrap_or(0)
     }
 
     /// Returns whether the instance uses the shares of the latest epoch and is among its holders.
     fn is_settled(&self) -> bool {
-        self.epochs.last_key_value().is_some_and(|(latest, holders)| {
-            self.usable == Some(*latest) && holders.contains(&self.instance)
+        self.epochs.last_key_value().is_some_and(|(latest, set)| {
+            self.usable == Some(*latest) && set.holders.contains(&self.instance)
         })
     }
 
@@ -186,10 +206,12 @@
 
     /// Gives up the shares when the lease is over; the leader may have given them to others.
     fn expire(&mut self, now: Timestamp) {
-        if self.lease_end.is_some_and(|end| end <= now) {
-            self.lease_end = None;
-            self.usable = None;
+        let Some(end) = self.lease_end.filter(|end| *end <= now) else { return };
+        if self.usable.is_some() {
+            self.reserve_end = Some(end + self.timing.reserve);
         }
+        self.lease_end = None;
+        self.usable = None;
     }
 
     /// Learns the holders of an epoch that was not known.
@@ -198,7 +220,9 @@
         let Some(holders) = grant.holders.as_ref().filter(|_| grant.epoch > latest) else {
             return;
         };
-        self.epochs.insert(grant.epoch, holders.clone());
+        let reserved = grant.reserved.clone();
+        let set = HolderSet { epoch: grant.epoch, holders: holders.clone(), reserved };
+        self.epochs.insert(grant.epoch, set);
         if self.epochs.len() > MAX_EPOCHS {
             self.epochs.pop_first();
             self.usable = None;
@@ -210,6 +234,7 @@
     fn take_usable(&mut self, usable: ShareEpoch) {
         if self.epochs.contains_key(&usable) && self.usable.is_none_or(|held| held < usable) {
             self.usable = Some(usable);
+            self.reserve_end = None;
             self.epochs = self.epochs.split_off(&usable);
         }
     }
--- a/crates/figglade/src/controller/share/leader.rs
+++ b/crates/figglade/src/controller/share/leader.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::types::{HolderSet, ShareAction, ShareEpoch, ShareGrant, ShareRequest, ShareTiming};
+use super::types::{
+    HolderSet, MAX_RESERVED, ShareAction, ShareEpoch, ShareGrant, ShareRequest, ShareTiming,
+};
 use crate::{Incarnation, InstanceId, Timestamp, controller::quorum::Term};
 
 /// The most instances that one leader grants leases to.
@@ -29,6 +31,8 @@
     usable: ShareEpoch,
     leases: BTreeMap<InstanceId, HolderLease>,
     returning: BTreeMap<InstanceId, Timestamp>,
+    /// Until when instances without a lease keep their reserved connections.
+    absent: BTreeMap<InstanceId, Timestamp>,
     former_leases_end: Timestamp,
     proposed_at: Option<Timestamp>,
 }
@@ -46,6 +50,7 @@
             usable: ShareEpoch::default(),
             leases: BTreeMap::new(),
             returning: BTreeMap::new(),
+            absent: BTreeMap::new(),
             former_leases_end,
             proposed_at: None,
         }
@@ -77,10 +82,12 @@
         let lease_ms = if granted { self.timing.lease.as_millis() as u64 } else { 0 };
         let is_known = request.known_epoch >= self.committed.epoch;
         let holders = (!is_known).then(|| self.committed.holders.clone());
+        let reserved = if is_known { BTreeSet::new() } else { self.committed.reserved.clone() };
         let grant = ShareGrant {
             term: self.term,
             epoch: self.committed.epoch,
             holders,
+            reserved,
             usable_epoch: self.usable,
             lease_ms,
         };
@@ -137,6 +144,8 @@
         };
         if request.release {
             self.leases.remove(&request.instance);
+            // It closed every connection, the reserved ones too.
+            self.absent.insert(request.instance.clone(), now);
             return false;
         }
         let ends_at = now + self.timing.lease + self.timing.margin;
@@ -158,7 +167,8 @@
     fn propose_holders(&mut self, now: Timestamp) -> Option<ShareAction> {
         let present = self.leases.keys().chain(self.returning.keys());
         let wanted: BTreeSet<InstanceId> = present.cloned().collect();
-        if wanted == self.committed.holders {
+        let reserved = self.reserve_connections(&wanted, now);
+        if wanted == self.committed.holders && reserved == self.committed.reserved {
             self.proposed_at = None;
             return None;
         }
@@ -168,6 +178,29 @@
         }
         self.proposed_at = Some(now);
         let epoch = self.committed.epoch.next();
-        Some(ShareAction::ProposeHolders(HolderSet { epoch, holders: wanted }))
+        Some(ShareAction::ProposeHolders(HolderSet { epoch, holders: wanted, reserved }))
+    }
+
+    /// Returns the instances with a reserved connection from the next epoch on: those that have one
+    /// until they are absent for too long, then holders while there is room.
+    fn reserve_connections(
+        &mut self,
+        holders: &BTreeSet<InstanceId>,
+        now: Timestamp,
+    ) -> BTreeSet<InstanceId> {
+        let held = &self.committed.reserved;
+        self.absent.retain(|id, _| held.contains(id) && !holders.contains(id));
+        let until = now + self.timing.reserve + self.timing.margin;
+        for id in held.difference(holders) {
+            self.absent.entry(id.clone()).or_insert(until);
+        }
+        let is_kept = |id: &&InstanceId| self.absent.get(*id).is_none_or(|until| now < *until);
+        let mut reserved: BTreeSet<InstanceId> = held.iter().filter(is_kept).cloned().collect();
+        for id in holders {
+            if reserved.len() < MAX_RESERVED {
+                reserved.insert(id.clone());
+            }
+        }
+        reserved
     }
 }
--- a/crates/figglade/src/controller/share/mod.rs
+++ b/crates/figglade/src/controller/share/mod.rs
@@ -12,7 +12,7 @@
 pub mod leader;
 pub mod types;
 
-pub use division::share_of;
+pub use division::{reserved_share, share_of, share_under};
 pub use holder::ShareHolder;
 pub use leader::ShareLeader;
 pub use types::*;
--- a/crates/figglade/src/controller/share/types.rs
+++ b/crates/figglade/src/controller/share/types.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// The most instances with a reserved connection.
+pub const MAX_RESERVED: usize = 10;
+/// The smallest cap that connections are reserved of.
+pub const MIN_RESERVED_CAP: u32 = 2 * MAX_RESERVED as u32;
+
 /// A set of holders that the control group committed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderSet {
@@ -52,6 +57,10 @@
     pub epoch: ShareEpoch,
     /// The instances that may connect to targets.
     pub holders: BTreeSet<InstanceId>,
+    /// The instances that keep one connection to each target when their lease is over, at most
+    /// [`MAX_RESERVED`].
+    #[serde(default)]
+    pub reserved: BTreeSet<InstanceId>,
 }
 
 /// Asks the leader for a lease, or for its renewal.
@@ -80,6 +89,9 @@
     /// Its holders, unless the instance knows them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub holders: Option<BTreeSet<InstanceId>>,
+    /// The instances with a reserved connection, wherever the holders are given.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub reserved: BTreeSet<InstanceId>,
     /// The latest epoch whose shares may be used without regard to earlier ones.
     pub usable_epoch: ShareEpoch,
     /// The time of the lease from the sending of the request, in milliseconds.
@@ -106,6 +118,8 @@
     pub closing: Duration,
     /// The time after which a proposal without an answer is repeated.
     pub propose_period: Duration,
+    /// The time after the end of its lease in which a holder keeps its reserved connections.
+    pub reserve: Duration,
 }
 
 impl Default for ShareTiming {
@@ -115,6 +129,7 @@
             margin: Duration::from_millis(600),
             closing: Duration::from_secs(1),
             propose_period: Duration::from_secs(1),
+            reserve: Duration::from_secs(3_600),
         }
     }
 }
--- a/crates/figglade/src/wire.rs
+++ b/crates/figglade/src/wire.rs
@@ -154,6 +154,9 @@
     pub config_version: ConfigVersion,
     /// The time spent in the tier, in milliseconds.
     pub elapsed_ms: f64,
+    /// True where the instance could not prove that its configuration is the latest.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stale: bool,
 }
 
 /// What became of an action.
--- a/crates/figglade/tests/share_leases.rs
+++ b/crates/figglade/tests/share_leases.rs
@@ -210,7 +210,8 @@
         for (position, cap) in CAPS.into_iter().enumerate() {
             let open = &mut instance.open[position];
             let wanted = holder.connection_share(&target(position), cap, now);
-            *open = if expired { 0 } else { (*open).max(wanted) };
+            // Past the lease only what is reserved stays open.
+            *open = if expired { wanted } else { (*open).max(wanted) };
             let limit = holder.open_limit(&target(position), cap, now);
             if *open > limit && self.rng.random_bool(0.5) {
                 *open -= 1;
@@ -344,7 +345,31 @@
     cluster.run(3, Duration::from_secs(3));
     assert_eq!(cluster.instances[0].open, before, "nobody grows while the lease may run");
     cluster.run(3, Duration::from_secs(9));
+    // One connection to each target with a cap of 20 or more is reserved for an hour.
+    assert_eq!(cluster.instances[2].open, [1, 1, 0, 0]);
+    assert_eq!(cluster.open(), CAPS);
+    cluster.run(3, Duration::from_secs(3_610));
     assert_eq!(cluster.instances[2].open, [0; CAPS.len()]);
+    assert_eq!(cluster.open(), CAPS, "the reserved connections go back to the others");
+}
+
+#[test]
+fn without_a_leader_everybody_keeps_the_reserved_connections() {
+    let mut cluster = Cluster::new(5, 3);
+    cluster.rough = false;
+    for position in 0..3 {
+        cluster.start(position);
+    }
+    cluster.run(5, Duration::from_secs(10));
+    for position in 0..3 {
+        cluster.instances[position].cut_off = true;
+    }
+    cluster.run(5, Duration::from_secs(20));
+    assert_eq!(cluster.open(), [3, 3, 0, 0]);
+    for position in 0..3 {
+        cluster.instances[position].cut_off = false;
+    }
+    cluster.run(5, Duration::from_secs(20));
     assert_eq!(cluster.open(), CAPS);
 }
 
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -201,8 +201,9 @@
         self.parts.gossip.visit_caps(|target, address, cap| {
             let limit = match phase {
                 LeasePhase::Held => shares.connection_share(target, self.tier_cap(cap), now),
-                LeasePhase::Closing => shares.open_limit(target, self.tier_cap(cap), now),
-                LeasePhase::Expired => 0,
+                LeasePhase::Closing | LeasePhase::Expired => {
+                    shares.open_limit(target, self.tier_cap(cap), now)
+                }
             };
             kept &= (self.parts.limit_connections)(address, limit);
         });
--- a/crates/figgladed/src/tier/query.rs
+++ b/crates/figgladed/src/tier/query.rs
@@ -119,7 +119,8 @@
         let end = self.run_snapshots(&plan, &view).await?;
         drop(permit);
         self.check_fraction(&plan, &view, &end.merged)?;
-        Ok(self.make_response(plan, end))
+        let stale = self.parts.control.is_stale(&view.settings);
+        Ok(self.make_response(plan, end, stale))
     }
 
     /// Runs the fan-out and starts again on another snapshot when the pinned one vanished.
@@ -304,7 +305,7 @@
         Err(TierError::CoverageTooLow { fraction, minimum })
     }
 
-    fn make_response(&self, plan: SearchPlan, end: FanoutEnd) -> QueryResponse {
+    fn make_response(&self, plan: SearchPlan, end: FanoutEnd, stale: bool) -> QueryResponse {
         let elapsed = self.now().since(plan.received);
         QueryResponse {
             request_id: plan.request,
@@ -316,6 +317,7 @@
             hits: end.merged.hits,
             config_version: self.settings.version(),
             elapsed_ms: elapsed.as_secs_f64() * 1_000.0,
+            stale,
         }
     }
 
