Admit by the slots of the targets and refuse the rest at once

A broad search now counts for every shard it asks, and an index runs five requests for each slot of its smallest shard, fewer while targets shed. What would wait for more than a tenth of its time left is refused with 429. Lookups and actions have queues and a reserve of their own, and the index that was served least goes first. Coverage, extra load and throttled events are recorded.

--- a/crates/figglade/src/border.rs
+++ b/crates/figglade/src/border.rs
@@ -93,6 +93,12 @@
 
     /// Asks the target to stop an attempt; nothing waits for the answer.
     fn cancel(&self, endpoint: &TargetEndpoint, call: CancelCall);
+
+    /// Keeps `connections` to the target open ahead of requests, as far as its share allows.
+    fn warm(&self, endpoint: &TargetEndpoint, connections: u32) {
+        // A client without connections has nothing to open.
+        let _ = (endpoint, connections);
+    }
 }
 
 /// Sends frames to other instances; a frame may be lost, delayed or doubled.
--- a/crates/figglade/src/filter/fanout/run.rs
+++ b/crates/figglade/src/filter/fanout/run.rs
@@ -74,9 +74,9 @@
         self.open_slots == 0
     }
 
-    /// Returns the number of shards without a result.
-    pub fn open_shards(&self) -> usize {
-        self.open_slots
+    /// Returns the number of shards asked.
+    pub fn shard_count(&self) -> usize {
+        self.slots.len()
     }
 
     /// Returns the number of attempts sent, probes among them.
--- a/crates/figglade/src/filter/routing.rs
+++ b/crates/figglade/src/filter/routing.rs
@@ -49,6 +49,8 @@
     pub replicas: Vec<Vec<Arc<TargetRoute>>>,
     /// The documents of each shard, `None` where nobody ever told.
     pub documents: Vec<Option<u64>>,
+    /// The slots of the shard that has the fewest, among those that have a replica.
+    pub least_slots: u32,
 }
 
 impl SnapshotRoute {
@@ -161,10 +163,17 @@
     }
 
     fn finish(self, key: SnapshotKey) -> SnapshotRoute {
-        SnapshotRoute { key, replicas: self.replicas, documents: self.documents }
+        let least_slots = count_least_slots(&self.replicas);
+        SnapshotRoute { key, replicas: self.replicas, documents: self.documents, least_slots }
     }
 }
 
+fn count_least_slots(replicas: &[Vec<Arc<TargetRoute>>]) -> u32 {
+    let covered = replicas.iter().filter(|replicas| !replicas.is_empty());
+    let slots = covered.map(|replicas| replicas.iter().map(|route| route.slots).sum());
+    slots.min().unwrap_or(0)
+}
+
 fn add_target(
     drafts: &mut BTreeMap<SnapshotKey, SnapshotDraft>,
     index: &IndexName,
--- a/crates/figglade/tests/filter_support/mod.rs
+++ b/crates/figglade/tests/filter_support/mod.rs
@@ -56,6 +56,7 @@
         key: snapshot_key(7),
         replicas: (0..shards).map(|shard| replicas(shard, replica_count)).collect(),
         documents: vec![Some(DOCUMENTS); shards as usize],
+        least_slots: 3 * replica_count,
     })
 }
 
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -1,6 +1,11 @@
 //! One running instance: it assembles the parts and stops them in order.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
 use derive_more::{Display, Error, From};
 use figglade::{
@@ -38,6 +43,8 @@
 const MAX_APPEND_ENTRIES: usize = 512;
 /// The most payload bytes of one append message.
 const MAX_APPEND_BYTES: usize = 512 << 10;
+/// How often connections to targets are opened ahead of requests.
+const WARM_PERIOD: Duration = Duration::from_millis(500);
 /// How long a stopping instance waits for the news of it to spread.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often that is looked at.
@@ -337,6 +344,7 @@
             log: self.log.clone(),
         };
         let tier = Arc::new(QueryTier::new(parts, Arc::clone(&self.state) as _));
+        tokio::spawn(keep_warm(Arc::downgrade(&tier)));
         let context = Arc::new(ApiContext {
             tier,
             control: Arc::new(Arc::clone(plane)),
@@ -348,3 +356,13 @@
         Ok(start_server(self.settings.listen.http, limits.max_body_bytes, context, &self.log)?)
     }
 }
+
+/// Keeps connections to targets warm until the request path is dropped.
+async fn keep_warm(tier: Weak<QueryTier>) {
+    let mut ticks = tokio::time::interval(WARM_PERIOD);
+    loop {
+        ticks.tick().await;
+        let Some(tier) = tier.upgrade() else { return };
+        tier.warm_targets();
+    }
+}
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -8,6 +8,7 @@
     border::{ActionRecord, AttemptError, BodyDigest, ClaimDecision, ClaimError, ClaimRequest},
     controller::event::EventKind,
     filter::{
+        admission::RequestBreadth,
         picker::{AttemptEnd, PickScope},
         routing::TargetRoute,
     },
@@ -60,7 +61,8 @@
             Ok(view) => view,
             Err(error) => return self.refuse_recorded(&plan, error).await,
         };
-        let entered = self.admission.enter(&plan.request.index, deadline, &settings).await;
+        let entered =
+            self.admit(RequestBreadth::Narrow, plan.request.request_id, &view, deadline).await;
         let permit = match entered {
             Ok(permit) => permit,
             Err(error) => return self.refuse_recorded(&plan, error).await,
@@ -126,13 +128,13 @@
         };
         let detail = record.outcome.to_string();
         self.parts.control.note(EventKind::ClaimEnded, Some(id), detail);
-        self.record_end(plan, record.clone()).await;
+        self.record_outcome(plan, record.clone()).await;
         recorded_response(id, record)
     }
 
     /// Records the outcome; the answer does not wait past the deadline for it, because the claim
     /// already keeps the identifier from running again.
-    async fn record_end(&self, plan: &ActionPlan, record: ActionRecord) {
+    async fn record_outcome(&self, plan: &ActionPlan, record: ActionRecord) {
         let claims = Arc::clone(&self.parts.claims);
         let (id, digest) = (plan.request.request_id, plan.digest);
         let recording = tokio::spawn(async move { claims.finish_claim(id, digest, record).await });
--- a/crates/figgladed/src/tier/admit.rs
+++ b/crates/figgladed/src/tier/admit.rs
@@ -5,7 +5,10 @@
 use figglade::{
     IndexName, Timestamp,
     controller::fleet::FleetDefaults,
-    filter::admission::{AdmissionController, AdmissionLimits, AdmissionTicket, AdmissionVerdict},
+    filter::admission::{
+        AdmissionController, AdmissionLimits, AdmissionRequest, AdmissionTicket, AdmissionTurn,
+        AdmissionVerdict, IndexCapacity,
+    },
 };
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -13,6 +16,9 @@
 use super::TierError;
 use crate::clock::ProcessClock;
 
+/// The suggested wait of a caller whose request waited in vain.
+const RETRY_AFTER_WAIT: Duration = Duration::from_millis(500);
+
 /// Parks requests until they may run.
 pub(super) struct AdmissionGate {
     clock: ProcessClock,
@@ -21,12 +27,14 @@
 
 struct GateState {
     controller: AdmissionController,
-    parked: HashMap<AdmissionTicket, oneshot::Sender<()>>,
+    /// Each parked request hears whether it runs.
+    parked: HashMap<AdmissionTicket, oneshot::Sender<bool>>,
 }
 
 /// The right to run; giving it up lets the next request run.
 pub(super) struct AdmissionPermit<'a> {
     gate: &'a AdmissionGate,
+    request: AdmissionRequest,
     started: Timestamp,
 }
 
@@ -34,7 +42,8 @@
 struct ParkedGuard<'a> {
     gate: &'a AdmissionGate,
     ticket: AdmissionTicket,
-    armed: bool,
+    request: Option<AdmissionRequest>,
+    turn: oneshot::Receiver<bool>,
 }
 
 impl AdmissionGate {
@@ -49,50 +58,55 @@
         self.state.lock().controller.load()
     }
 
-    /// Waits for the right to run a request of `index` until `deadline`.
+    /// Waits for the right to run `request` until its deadline.
     pub(super) async fn enter(
         &self,
-        index: &IndexName,
-        deadline: Timestamp,
+        request: AdmissionRequest,
+        capacity: IndexCapacity,
         settings: &FleetDefaults,
     ) -> Result<AdmissionPermit<'_>, TierError> {
-        let now = self.clock.now();
-        let (ticket, turn) = {
+        let due = self.clock.instant_of(request.deadline);
+        let mut guard = {
             let mut state = self.state.lock();
             state.controller.set_limits(limits_of(settings));
-            match state.controller.admit(index, deadline, now) {
-                AdmissionVerdict::Run(_) => return Ok(self.permit()),
+            match state.controller.admit(&request, capacity, self.clock.now()) {
+                AdmissionVerdict::Run => {
+                    drop(state);
+                    return Ok(self.permit(request));
+                }
                 AdmissionVerdict::Refuse { retry_after } => {
                     return Err(TierError::Overloaded { retry_after });
                 }
                 AdmissionVerdict::Wait(ticket) => {
-                    let (sender, receiver) = oneshot::channel();
+                    let (sender, turn) = oneshot::channel();
                     state.parked.insert(ticket, sender);
-                    (ticket, receiver)
+                    ParkedGuard { gate: self, ticket, request: Some(request), turn }
                 }
             }
         };
-        let mut guard = ParkedGuard { gate: self, ticket, armed: true };
-        let waited = tokio::time::timeout_at(self.clock.instant_of(deadline), turn).await;
-        match waited {
-            Ok(Ok(())) => {
-                guard.armed = false;
-                Ok(self.permit())
-            }
-            _ => Err(TierError::DeadlinePassed),
+        match tokio::time::timeout_at(due, &mut guard.turn).await {
+            Ok(Ok(true)) => Ok(guard.take_permit()),
+            Ok(_) => Err(TierError::Overloaded { retry_after: RETRY_AFTER_WAIT }),
+            Err(_) => Err(TierError::DeadlinePassed),
         }
     }
 
-    fn permit(&self) -> AdmissionPermit<'_> {
-        AdmissionPermit { gate: self, started: self.clock.now() }
+    /// Lets fewer requests of `index` run, because a target shed one.
+    pub(super) fn note_shed(&self, index: &IndexName) {
+        self.state.lock().controller.note_shed(index, self.clock.now());
+    }
+
+    fn permit(&self, request: AdmissionRequest) -> AdmissionPermit<'_> {
+        AdmissionPermit { gate: self, request, started: self.clock.now() }
     }
 
-    fn finish(&self, elapsed: Duration) {
+    fn finish(&self, request: &AdmissionRequest, elapsed: Duration) {
+        let now = self.clock.now();
         let mut state = self.state.lock();
-        for ticket in state.controller.finish(elapsed) {
+        for AdmissionTurn { ticket, runs } in state.controller.finish(request, elapsed, now) {
             if let Some(sender) = state.parked.remove(&ticket) {
                 // A receiver that left gives the turn back in its guard.
-                let _ = sender.send(());
+                let _ = sender.send(runs);
             }
         }
     }
@@ -101,22 +115,27 @@
 impl Drop for AdmissionPermit<'_> {
     fn drop(&mut self) {
         let elapsed = self.gate.clock.now().since(self.started);
-        self.gate.finish(elapsed);
+        self.gate.finish(&self.request, elapsed);
+    }
+}
+
+impl<'a> ParkedGuard<'a> {
+    fn take_permit(&mut self) -> AdmissionPermit<'a> {
+        let request = self.request.take().expect("the turn comes once");
+        self.gate.permit(request)
     }
 }
 
 impl Drop for ParkedGuard<'_> {
     fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
+        let Some(request) = self.request.take() else { return };
         let mut state = self.gate.state.lock();
         state.parked.remove(&self.ticket);
         let waited = state.controller.withdraw(self.ticket);
         drop(state);
-        if !waited {
+        if !waited && self.turn.try_recv() == Ok(true) {
             // The turn came at the same moment and must not be lost.
-            self.gate.finish(Duration::ZERO);
+            self.gate.finish(&request, Duration::ZERO);
         }
     }
 }
--- a/crates/figgladed/src/tier/board.rs
+++ b/crates/figgladed/src/tier/board.rs
@@ -21,6 +21,8 @@
 /// One index as requests see it.
 #[derive(Clone, Debug)]
 pub struct IndexView {
+    /// The index.
+    pub index: IndexName,
     /// The replicas of its snapshots.
     pub route: Arc<IndexRoute>,
     /// The settings in force for it.
@@ -80,7 +82,7 @@
         let _guard = self.publishing.lock();
         let settings = self.settings.settings_of(index);
         let known = self.view(index);
-        let view = self.make_view(Arc::new(route), settings, known);
+        let view = self.make_view(index, Arc::new(route), settings, known);
         self.shard_of(index).write().insert(index.clone(), view);
     }
 
@@ -90,13 +92,14 @@
         for index in self.indexes() {
             let Some(known) = self.view(&index) else { continue };
             let settings = self.settings.settings_of(&index);
-            let view = self.make_view(Arc::clone(&known.route), settings, Some(known));
+            let view = self.make_view(&index, Arc::clone(&known.route), settings, Some(known));
             self.shard_of(&index).write().insert(index, view);
         }
     }
 
     fn make_view(
         &self,
+        index: &IndexName,
         route: Arc<IndexRoute>,
         settings: FleetDefaults,
         known: Option<IndexView>,
@@ -111,7 +114,7 @@
             }
         };
         tools.picker.ejections.set_targets(targets);
-        IndexView { route, settings, tools }
+        IndexView { index: index.clone(), route, settings, tools }
     }
 
     fn make_tools(&self, settings: &FleetDefaults) -> FanoutTools {
--- a/crates/figgladed/src/tier/mod.rs
+++ b/crates/figgladed/src/tier/mod.rs
@@ -3,20 +3,29 @@
 mod action;
 mod admit;
 mod board;
+mod drive;
 mod error;
 mod query;
+mod throttle;
 mod validate;
 
 use std::{sync::Arc, time::Duration};
 
 use figglade::{
-    IndexName, InstanceId, Timestamp,
+    IndexName, InstanceId, RequestId, Timestamp,
     border::{ClaimStore, TargetClient, TargetEndpoint},
-    filter::routing::TargetRoute,
+    controller::event::EventKind,
+    filter::{
+        admission::{AdmissionRequest, IndexCapacity, RequestBreadth},
+        routing::TargetRoute,
+    },
 };
 use slog::Logger;
 
-use self::admit::AdmissionGate;
+use self::{
+    admit::{AdmissionGate, AdmissionPermit},
+    throttle::EventThrottle,
+};
 pub use self::{
     board::{IndexBoard, IndexView, SettingsSource, fanout_policy},
     error::{Refusal, TierError},
@@ -50,6 +59,9 @@
     );
 }
 
+/// The connections kept open to each near replica ahead of requests.
+const WARM_CONNECTIONS: u32 = 2;
+
 /// The parts that the request path is made of.
 pub struct TierParts {
     /// The clocks.
@@ -77,13 +89,21 @@
     parts: TierParts,
     settings: Arc<dyn SettingsSource>,
     admission: AdmissionGate,
+    refusal_events: EventThrottle,
+    partial_events: EventThrottle,
 }
 
 impl QueryTier {
     /// Assembles the request path.
     pub fn new(parts: TierParts, settings: Arc<dyn SettingsSource>) -> Self {
         let admission = AdmissionGate::new(parts.clock);
-        Self { parts, settings, admission }
+        Self {
+            parts,
+            settings,
+            admission,
+            refusal_events: EventThrottle::default(),
+            partial_events: EventThrottle::default(),
+        }
     }
 
     /// Returns how many requests run and wait.
@@ -91,12 +111,67 @@
         self.admission.load()
     }
 
+    /// Opens connections to the replicas of the own zone ahead of requests, or to every replica of
+    /// a shard that has none there.
+    pub fn warm_targets(&self) {
+        for index in self.parts.board.indexes() {
+            let Some(view) = self.parts.board.view(&index) else { continue };
+            let Some(snapshot) = view.route.pin_snapshot(&[]) else { continue };
+            for replicas in &snapshot.replicas {
+                let zone = &view.tools.picker.zone;
+                let near = replicas.iter().any(|route| route.zone == *zone);
+                for route in replicas.iter().filter(|route| !near || route.zone == *zone) {
+                    self.parts.client.warm(&self.endpoint_of(route), WARM_CONNECTIONS);
+                }
+            }
+        }
+    }
+
     /// Returns the view of `index` or the refusal of an index nobody announced.
     fn find_index(&self, index: &IndexName) -> Result<IndexView, TierError> {
         let view = self.parts.board.view(index);
         view.ok_or_else(|| TierError::UnknownIndex { index: index.to_string() })
     }
 
+    /// Waits for the right to run a request of the index of `view`.
+    async fn admit(
+        &self,
+        breadth: RequestBreadth,
+        request: RequestId,
+        view: &IndexView,
+        deadline: Timestamp,
+    ) -> Result<AdmissionPermit<'_>, TierError> {
+        let capacity = self.capacity_of(view);
+        let cost = match breadth {
+            RequestBreadth::Broad => capacity.shards,
+            RequestBreadth::Narrow => 1,
+        };
+        let index = view.index.clone();
+        let admission = AdmissionRequest { index, breadth, cost, deadline };
+        let entered = self.admission.enter(admission, capacity, &view.settings).await;
+        if let Err(error) = &entered
+            && self.refusal_events.allow(self.now())
+        {
+            let detail = format!("index {}: {error}", view.index);
+            self.parts.control.note(EventKind::AdmissionRefused, Some(request), detail);
+        }
+        entered
+    }
+
+    /// Returns what the targets of an index can run for this instance.
+    fn capacity_of(&self, view: &IndexView) -> IndexCapacity {
+        let Some(snapshot) = view.route.pin_snapshot(&[]) else {
+            return IndexCapacity { shards: 1, slots: 1.0 };
+        };
+        // The shares of slots go with those of connections, which the leases divide.
+        let share = snapshot.replicas.iter().flatten().next().map_or(1.0, |route| {
+            let share = self.parts.control.connection_share(route);
+            f64::from(share) / f64::from(route.connections.max(1))
+        });
+        let slots = f64::from(snapshot.least_slots) * share;
+        IndexCapacity { shards: snapshot.shard_count(), slots }
+    }
+
     fn endpoint_of(&self, route: &TargetRoute) -> TargetEndpoint {
         TargetEndpoint {
             target: route.target.clone(),
--- a/crates/figgladed/src/tier/query.rs
+++ b/crates/figgladed/src/tier/query.rs
@@ -1,52 +1,41 @@
-//! Searches and lookups: validate, admit, pin a snapshot, fan out, merge.
+//! Searches and lookups: validate, admit, pin a snapshot, fan out, answer.
 
 use std::{sync::Arc, time::Duration};
 
 use figglade::{
-    AttemptId, IndexName, RequestId, ShardId, TargetId, Timestamp,
-    border::AttemptError,
+    AttemptId, IndexName, RequestId, ShardId, Timestamp,
     controller::event::EventKind,
     filter::{
-        fanout::{AttemptKind, FanoutAction, FanoutRun, ReplyScope, ReplyVerdict},
+        admission::RequestBreadth,
+        fanout::FanoutRun,
         merge::MergedAnswer,
-        picker::TargetChange,
-        routing::{SnapshotKey, SnapshotRoute, TargetRoute},
+        routing::{SnapshotKey, SnapshotRoute},
     },
-    wire::{CancelCall, LookupRequest, QueryRequest, QueryResponse, SearchCall, SearchReply},
+    wire::{LookupRequest, QueryRequest, QueryResponse, SearchCall},
 };
 use serde_json::value::RawValue;
-use tokio::sync::mpsc;
 
 use super::{
-    ControlView, IndexView, QueryTier, Refusal, TierError, fanout_policy, millis_left, validate,
+    IndexView, QueryTier, Refusal, TierError, drive::FanoutEnd, fanout_policy, millis_left,
+    validate,
 };
+use crate::metrics::RequestKind;
 
 /// The most times a request starts again because its snapshot vanished.
 const MAX_RESTARTS: usize = 2;
-/// The longest wait for the answer to a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One search, whether over every shard or over the one that owns a key.
-struct SearchPlan {
-    request: RequestId,
-    index: IndexName,
+pub(super) struct SearchPlan {
+    pub(super) request: RequestId,
+    pub(super) index: IndexName,
     query: Box<RawValue>,
-    limit: u32,
+    pub(super) limit: u32,
     /// The key that chooses the only shard asked.
     key: Option<String>,
     min_coverage: Option<f64>,
     received: Timestamp,
     /// When the caller stops waiting, less the way back to it.
-    deadline: Timestamp,
-}
-
-type AttemptOutcome = (AttemptId, Result<SearchReply, AttemptError>);
-
-/// What a fan-out over one snapshot ended with.
-struct FanoutEnd {
-    key: SnapshotKey,
-    merged: MergedAnswer,
-    lost_snapshot: bool,
+    pub(super) deadline: Timestamp,
 }
 
 impl QueryTier {
@@ -109,8 +98,7 @@
         if let Some(reason) = self.parts.control.refuse_query(&view.settings) {
             return Err(TierError::Unavailable { reason }.into());
         }
-        let settings = &view.settings;
-        let permit = self.admission.enter(&plan.index, plan.deadline, settings).await?;
+        let permit = self.admit(plan.breadth(), plan.request, &view, plan.deadline).await?;
         if self.now() >= plan.deadline {
             return Err(TierError::DeadlinePassed.into());
         }
@@ -118,6 +106,7 @@
         let view = self.find_index(&plan.index)?;
         let end = self.run_snapshots(&plan, &view).await?;
         drop(permit);
+        self.record_end(&plan, &end);
         self.check_fraction(&plan, &view, &end.merged)?;
         Ok(self.make_response(plan, end))
     }
@@ -130,15 +119,12 @@
     ) -> Result<FanoutEnd, TierError> {
         let mut vanished = Vec::new();
         let mut best: Option<FanoutEnd> = None;
-        loop {
-            let route = self.parts.board.view(&plan.index).map(|view| view.route);
-            let pinned = route.and_then(|route| route.pin_snapshot(&vanished));
-            let Some(snapshot) = pinned else { break };
-            let end = self.run_fanout(plan, view, snapshot).await;
-            let restart = end.lost_snapshot
-                && vanished.len() < MAX_RESTARTS
-                && self.now() + Duration::from_millis(1) < plan.deadline;
-            vanished.push(end.key);
+        while let Some(snapshot) = self.pin_snapshot(plan, &vanished) {
+            vanished.push(snapshot.key);
+            let may_restart = vanished.len() <= MAX_RESTARTS
+                && self.pin_snapshot(plan, &vanished).is_some_and(|other| other.is_covered());
+            let end = self.run_fanout(plan, view, snapshot, may_restart).await;
+            let restart = end.lost_snapshot && may_restart && self.now() < plan.deadline;
             if best.as_ref().is_none_or(|best| covers_more(&end, best)) {
                 best = Some(end);
             }
@@ -153,139 +139,31 @@
         })
     }
 
-    async fn run_fanout(
+    /// Pins a snapshot that did not vanish under this request.
+    fn pin_snapshot(
         &self,
         plan: &SearchPlan,
-        view: &IndexView,
-        snapshot: Arc<SnapshotRoute>,
-    ) -> FanoutEnd {
-        let (sender, mut receiver) = mpsc::unbounded_channel();
-        let run = Some(plan.make_run(view, &snapshot));
-        let mut guard = RunGuard { tier: self, run };
-        let actions = guard.run().start(self.now(), &mut rand::rng());
-        self.run_actions(plan, view, &snapshot, &sender, actions);
-        while !guard.run().is_done() {
-            let due = self.parts.clock.instant_of(guard.run().next_timer());
-            let actions = tokio::select! {
-                biased;
-                outcome = receiver.recv() => match outcome {
-                    Some(outcome) => self.take_outcome(guard.run(), outcome),
-                    None => Vec::new(),
-                },
-                () = tokio::time::sleep_until(due) => {
-                    guard.run().handle_timer(self.now(), &mut rand::rng())
-                }
-            };
-            self.run_actions(plan, view, &snapshot, &sender, actions);
-        }
-        guard.finish(plan)
+        vanished: &[SnapshotKey],
+    ) -> Option<Arc<SnapshotRoute>> {
+        self.parts.board.view(&plan.index)?.route.pin_snapshot(vanished)
     }
 
-    fn take_outcome(&self, run: &mut FanoutRun, outcome: AttemptOutcome) -> Vec<FanoutAction> {
-        let (attempt, reply) = outcome;
-        let (verdict, actions) = run.handle_reply(attempt, reply, self.now(), &mut rand::rng());
-        match verdict {
-            ReplyVerdict::Merged => {}
-            ReplyVerdict::Failed(error) => self.parts.metrics.count_discard(error),
-            // The loser of a hedge; its target was asked to stop.
-            ReplyVerdict::Late => {}
-        }
-        actions
-    }
-
-    fn run_actions(
-        &self,
-        plan: &SearchPlan,
-        view: &IndexView,
-        snapshot: &SnapshotRoute,
-        sender: &mpsc::UnboundedSender<AttemptOutcome>,
-        actions: Vec<FanoutAction>,
-    ) {
-        for action in actions {
-            match action {
-                FanoutAction::Send { attempt, shard, route, kind } => {
-                    let call = plan.search_call(attempt, shard, snapshot.key, self.now());
-                    self.note_attempt(plan, kind, shard, &route);
-                    self.send_search(call, &route, plan.deadline, sender.clone());
-                }
-                FanoutAction::Cancel { attempt, route } => self.cancel_attempt(attempt, &route),
-                FanoutAction::Probe { attempt, shard, route } => {
-                    let call = plan.search_call(attempt, shard, snapshot.key, self.now());
-                    self.send_probe(plan, view, call, snapshot.key, route);
-                }
-                FanoutAction::Changed { target, change } => {
-                    self.note_change(&target, change, plan.request);
-                }
-            }
-        }
-    }
-
-    fn note_attempt(
-        &self,
-        plan: &SearchPlan,
-        kind: AttemptKind,
-        shard: ShardId,
-        route: &TargetRoute,
-    ) {
-        self.parts.metrics.count_attempts(kind, 1);
-        let event = match kind {
-            AttemptKind::First | AttemptKind::Probe => return,
-            AttemptKind::Hedge => EventKind::HedgeSent,
-            AttemptKind::Retry => EventKind::RetrySent,
+    /// Records what an answer cost and covers.
+    fn record_end(&self, plan: &SearchPlan, end: &FanoutEnd) {
+        let kind = match plan.breadth() {
+            RequestBreadth::Broad => RequestKind::Query,
+            RequestBreadth::Narrow => RequestKind::Lookup,
         };
-        let detail = format!("index {} shard {shard} at target {}", plan.index, route.target);
-        self.parts.control.note(event, Some(plan.request), detail);
-    }
-
-    fn send_search(
-        &self,
-        call: SearchCall,
-        route: &TargetRoute,
-        deadline: Timestamp,
-        sender: mpsc::UnboundedSender<AttemptOutcome>,
-    ) {
-        let attempt = call.attempt_id;
-        let timeout = deadline.since(self.now());
-        let answer = self.parts.client.search(&self.endpoint_of(route), call, timeout);
-        tokio::spawn(async move {
-            // A request that ended no longer reads its channel.
-            let _ = sender.send((attempt, answer.await));
-        });
-    }
-
-    /// Sends a probe whose answer only shows whether the target recovered.
-    fn send_probe(
-        &self,
-        plan: &SearchPlan,
-        view: &IndexView,
-        call: SearchCall,
-        key: SnapshotKey,
-        route: Arc<TargetRoute>,
-    ) {
-        self.parts.metrics.count_attempts(AttemptKind::Probe, 1);
-        let (attempt, shard, index) = (call.attempt_id, call.shard, call.index.clone());
-        let timeout = plan.deadline.since(self.now()).min(PROBE_TIMEOUT);
-        let answer = self.parts.client.search(&self.endpoint_of(&route), call, timeout);
-        let (clock, control) = (self.parts.clock, Arc::clone(&self.parts.control));
-        let (tools, max_ejected) = (Arc::clone(&view.tools), view.settings.max_ejected);
-        let (started, request) = (self.now(), plan.request);
-        tokio::spawn(async move {
-            let scope = ReplyScope { attempt, index: &index, shard, key };
-            let answer = answer.await.and_then(|reply| scope.check(reply)).map(|_| ());
-            let now = clock.now();
-            let change = tools.end_probe(&route, answer, now.since(started), now, max_ejected);
-            note_change(&*control, &route.target, change, request);
-        });
-    }
-
-    /// Notes that a target was ejected or returned.
-    pub(super) fn note_change(&self, target: &TargetId, change: TargetChange, request: RequestId) {
-        note_change(&*self.parts.control, target, change, request);
-    }
-
-    fn cancel_attempt(&self, attempt: AttemptId, route: &TargetRoute) {
-        let call = CancelCall { attempt_id: attempt };
-        self.parts.client.cancel(&self.endpoint_of(route), call);
+        let coverage = &end.merged.coverage;
+        self.parts.metrics.record_coverage(kind, coverage.fraction);
+        self.parts.metrics.record_extra_load(kind, end.attempts, end.shards);
+        if !end.merged.complete && self.partial_events.allow(self.now()) {
+            let fraction = coverage.fraction.map_or("unknown".to_owned(), |f| f.to_string());
+            let missing = coverage.missing.len();
+            let detail =
+                format!("index {} coverage {fraction} missing shards {missing}", plan.index);
+            self.parts.control.note(EventKind::AnswerPartial, Some(plan.request), detail);
+        }
     }
 
     fn check_fraction(
@@ -328,6 +206,13 @@
 }
 
 impl SearchPlan {
+    const fn breadth(&self) -> RequestBreadth {
+        match self.key {
+            Some(_) => RequestBreadth::Narrow,
+            None => RequestBreadth::Broad,
+        }
+    }
+
     fn shards(&self, snapshot: &SnapshotRoute) -> Vec<ShardId> {
         match &self.key {
             Some(key) => vec![snapshot.shard_of(key.as_bytes())],
@@ -335,7 +220,7 @@
         }
     }
 
-    fn make_run(&self, view: &IndexView, snapshot: &Arc<SnapshotRoute>) -> FanoutRun {
+    pub(super) fn make_run(&self, view: &IndexView, snapshot: &Arc<SnapshotRoute>) -> FanoutRun {
         FanoutRun::new(
             self.index.clone(),
             Arc::clone(snapshot),
@@ -347,7 +232,7 @@
         )
     }
 
-    fn search_call(
+    pub(super) fn search_call(
         &self,
         attempt: AttemptId,
         shard: ShardId,
@@ -367,50 +252,6 @@
     }
 }
 
-/// Cancels what is still open when the request ends early, such as when its caller went away.
-struct RunGuard<'a> {
-    tier: &'a QueryTier,
-    run: Option<FanoutRun>,
-}
-
-impl RunGuard<'_> {
-    fn run(&mut self) -> &mut FanoutRun {
-        self.run.as_mut().expect("the run is taken only by finish")
-    }
-
-    fn finish(mut self, plan: &SearchPlan) -> FanoutEnd {
-        let run = self.run.take().expect("the run is taken only once");
-        let key = run.snapshot().key;
-        let lost_snapshot = run.lost_snapshot();
-        FanoutEnd { key, lost_snapshot, merged: run.finish(plan.limit as usize) }
-    }
-}
-
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
-        let Some(mut run) = self.run.take() else { return };
-        for action in run.abandon(self.tier.now()) {
-            if let FanoutAction::Cancel { attempt, route } = action {
-                self.tier.cancel_attempt(attempt, &route);
-            }
-        }
-    }
-}
-
-fn note_change(
-    control: &dyn ControlView,
-    target: &TargetId,
-    change: TargetChange,
-    request: RequestId,
-) {
-    let kind = match change {
-        TargetChange::None => return,
-        TargetChange::Ejected => EventKind::TargetEjected,
-        TargetChange::Returned => EventKind::TargetReturned,
-    };
-    control.note(kind, Some(request), format!("target {target}"));
-}
-
 /// Returns when the answer must be ready; half of a short deadline is left for the search.
 fn answer_by(received: Timestamp, deadline_ms: u64, margin_ms: u64) -> Timestamp {
     let margin = margin_ms.min(deadline_ms / 2);
