Give up connections of cancelled attempts and keep spare ones warm

A connection whose answer had just been read was often taken for dead, because the driver of the connection had not turned ready again; a cancelled search held its connection until the deadline and half a second more, so that a stalled replica could eat the pool; and a stale idle connection could turn an action unknown that never left.

Connections are now made by tasks of their own and go to the first waiter, a search whose reader left before it was sent is never sent, one that left later has 250 ms before its connection is closed, and a cancellation takes only a connection that is free at once. Actions use connections idle for less than a second, and a request is taken for not sent only when hyper hands it back.

The pool stays within its share and frees itself.

--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP client towards targets, with a bounded, warm pool for each.
 
+mod exchange;
 mod pool;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -14,12 +15,20 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::oneshot;
 
-use self::pool::{HttpExchange, TargetPool};
+use self::{
+    exchange::{HttpExchange, run_cancel, run_exchange},
+    pool::{ReuseBound, TargetPool},
+};
+use crate::metrics::PoolGauges;
 
-/// How long a cancelled or late exchange may still drain before its connection is closed.
-const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// How long a connection whose search was cancelled may still answer before it is closed.
+const CANCEL_GRACE: Duration = Duration::from_millis(250);
 /// How long a cancellation may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an action trusts an idle connection.
+const ACTION_REUSE: Duration = Duration::from_secs(1);
+/// The pools above which those without a connection are dropped.
+const MAX_POOLS: usize = 4_096;
 
 /// Sends requests to targets over pooled HTTP/1.1 connections.
 #[derive(Debug)]
@@ -34,20 +43,36 @@
         Self { pools: Mutex::default(), max_answer_bytes }
     }
 
-    /// Closes the idle connections to a target that left.
+    /// Closes the idle connections to a target that left; busy ones close when they are done.
     pub fn forget_target(&self, address: SocketAddr) {
         if let Some(pool) = self.pools.lock().remove(&address) {
-            pool.close_idle();
+            pool.set_share(0);
         }
     }
 
     /// Returns the open connections to all targets.
     pub fn open_connections(&self) -> u32 {
-        self.pools.lock().values().map(|pool| pool.open_connections()).sum()
+        self.pool_gauges().open as u32
+    }
+
+    /// Returns the connections to all targets together.
+    pub fn pool_gauges(&self) -> PoolGauges {
+        let mut sum = PoolGauges::default();
+        for pool in self.pools.lock().values() {
+            let gauges = pool.gauges();
+            sum.open += gauges.open;
+            sum.busy += gauges.busy;
+            sum.share += gauges.share;
+            sum.made += gauges.made;
+        }
+        sum
     }
 
     fn pool_of(&self, endpoint: &TargetEndpoint) -> Arc<TargetPool> {
         let mut pools = self.pools.lock();
+        if pools.len() >= MAX_POOLS && !pools.contains_key(&endpoint.address) {
+            pools.retain(|_, pool| pool.gauges().open > 0);
+        }
         let pool = pools
             .entry(endpoint.address)
             .or_insert_with(|| Arc::new(TargetPool::new(endpoint.address)));
@@ -55,31 +80,26 @@
         Arc::clone(pool)
     }
 
-    /// Runs an exchange in a task of its own, so that a reader who leaves does not cut the
-    /// connection, which would cost the next request a new one.
+    /// Runs an exchange in a task of its own, so that a reader who leaves does not cut a
+    /// connection that is about to be free again.
     fn exchange<C, R>(
         &self,
         endpoint: &TargetEndpoint,
         path: &'static str,
         call: &C,
         timeout: Duration,
+        bound: ReuseBound,
     ) -> BoxFuture<Result<R, AttemptError>>
     where
         C: Serialize,
         R: DeserializeOwned + Send + 'static,
     {
-        let body = match serde_json::to_vec(call) {
-            Ok(body) => Bytes::from(body),
-            Err(_) => return Box::pin(async { Err(AttemptError::NotSent) }),
+        let Some(exchange) = self.make_exchange(path, call) else {
+            return Box::pin(async { Err(AttemptError::NotSent) });
         };
-        let exchange = HttpExchange { path, body, max_answer_bytes: self.max_answer_bytes };
         let pool = self.pool_of(endpoint);
         let (sender, receiver) = oneshot::channel();
-        tokio::spawn(async move {
-            let answer = pool.run_exchange(exchange, timeout, DRAIN_GRACE).await;
-            // The reader may have left; the connection is back in the pool either way.
-            let _ = sender.send(answer);
-        });
+        tokio::spawn(run_exchange(pool, exchange, bound, CANCEL_GRACE, sender));
         Box::pin(async move {
             match tokio::time::timeout(timeout, receiver).await {
                 Ok(Ok(Ok((status, body)))) => read_answer(status, &body),
@@ -89,6 +109,11 @@
             }
         })
     }
+
+    fn make_exchange(&self, path: &'static str, call: &impl Serialize) -> Option<HttpExchange> {
+        let body = Bytes::from(serde_json::to_vec(call).ok()?);
+        Some(HttpExchange { path, body, max_answer_bytes: self.max_answer_bytes })
+    }
 }
 
 /// Turns an answer into a reply or the reason there is none.
@@ -109,7 +134,7 @@
         call: SearchCall,
         timeout: Duration,
     ) -> BoxFuture<Result<SearchReply, AttemptError>> {
-        self.exchange(endpoint, "/search", &call, timeout)
+        self.exchange(endpoint, "/search", &call, timeout, ReuseBound::Any)
     }
 
     fn act(
@@ -118,13 +143,19 @@
         call: ActCall,
         timeout: Duration,
     ) -> BoxFuture<Result<ActReply, AttemptError>> {
-        self.exchange(endpoint, "/act", &call, timeout)
+        // A target may have closed a connection that was idle for long; an action that is lost on
+        // it would be unknown although it never ran.
+        let bound = ReuseBound::IdleBelow(ACTION_REUSE);
+        self.exchange(endpoint, "/act", &call, timeout, bound)
     }
 
     fn cancel(&self, endpoint: &TargetEndpoint, call: CancelCall) {
-        let answer =
-            self.exchange::<_, serde_json::Value>(endpoint, "/cancel", &call, CANCEL_TIMEOUT);
+        let Some(exchange) = self.make_exchange("/cancel", &call) else { return };
         // Nothing depends on the answer: a target that ignores it only wastes its own slot.
-        drop(answer);
+        tokio::spawn(run_cancel(self.pool_of(endpoint), exchange, CANCEL_TIMEOUT));
+    }
+
+    fn warm(&self, endpoint: &TargetEndpoint, connections: u32) {
+        self.pool_of(endpoint).warm(connections);
     }
 }
--- a/crates/figgladed/src/target_client/pool.rs
+++ b/crates/figgladed/src/target_client/pool.rs
@@ -1,28 +1,48 @@
 //! A bounded pool of connections to one target.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use figglade::border::AttemptError;
-use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use tokio::{net::TcpStream, sync::Notify, time::Instant};
+use tokio::{
+    net::TcpStream,
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
-/// One request and the bound of its answer.
-#[derive(Debug)]
-pub(super) struct HttpExchange {
-    pub(super) path: &'static str,
-    pub(super) body: Bytes,
-    /// The largest answer read, in bytes.
-    pub(super) max_answer_bytes: usize,
+use crate::metrics::PoolGauges;
+
+/// The longest wait for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection that is not among the warm ones may be idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+pub(super) type Connection = SendRequest<Full<Bytes>>;
+
+/// Which idle connections a request may use.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ReuseBound {
+    /// Every one that is not known to be closed.
+    Any,
+    /// Those that were idle for less than this.
+    IdleBelow(Duration),
 }
 
-type Connection = SendRequest<Full<Bytes>>;
+impl ReuseBound {
+    fn accepts(self, idle: Duration) -> bool {
+        match self {
+            Self::Any => true,
+            Self::IdleBelow(bound) => idle < bound,
+        }
+    }
+}
 
-/// The connections to one target; never more than this instance's share.
+/// The connections to one target; never more than this instance's share, but for busy ones when
+/// the share shrinks.
 #[derive(Debug)]
 pub(super) struct TargetPool {
     address: SocketAddr,
@@ -32,15 +52,37 @@
 
 #[derive(Debug, Default)]
 struct PoolState {
-    idle: Vec<Connection>,
+    /// The free connections, the one used last at the end.
+    idle: Vec<IdleConnection>,
+    /// The connections that are free, busy or being made.
     open: u32,
+    opening: u32,
     share: u32,
+    warm: u32,
+    made: u64,
+    failed: u64,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+    /// Whether it carried a request before.
+    used: bool,
+}
+
+/// A connection taken from the pool; dropping it closes the connection.
+#[derive(Debug)]
+pub(super) struct PoolLease {
+    pool: Arc<TargetPool>,
+    connection: Option<Connection>,
+    reused: bool,
 }
 
 /// What a waiter may do next.
 enum PoolTurn {
-    Reuse(Connection),
-    Connect,
+    Take(IdleConnection),
+    Open,
     Wait,
 }
 
@@ -49,145 +91,191 @@
         Self { address, state: Mutex::default(), released: Notify::new() }
     }
 
+    /// Sets the share; idle connections above it close at once, busy ones when they are done.
     pub(super) fn set_share(&self, share: u32) {
         let mut state = self.state.lock();
+        if state.share == share {
+            return;
+        }
+        let raised = share > state.share;
         state.share = share;
-        // A share that shrank gives up idle connections at once.
-        while state.open > share && state.idle.pop().is_some() {
-            state.open -= 1;
+        while state.open > share && !state.idle.is_empty() {
+            state.close_oldest();
+        }
+        drop(state);
+        if raised {
+            self.released.notify_waiters();
         }
     }
 
-    pub(super) fn open_connections(&self) -> u32 {
-        self.state.lock().open
+    pub(super) fn gauges(&self) -> PoolGauges {
+        let state = self.state.lock();
+        PoolGauges {
+            open: u64::from(state.open),
+            busy: u64::from(state.open - state.opening) - state.idle.len() as u64,
+            share: u64::from(state.share),
+            made: state.made,
+        }
     }
 
-    pub(super) fn close_idle(&self) {
-        let mut state = self.state.lock();
-        let closed = state.idle.len() as u32;
-        state.idle.clear();
-        state.open -= closed;
-    }
-
-    /// Sends one request and reads its answer; the exchange may outlive `timeout` by `grace` so
-    /// that the connection can be used again.
-    pub(super) async fn run_exchange(
-        &self,
-        exchange: HttpExchange,
-        timeout: Duration,
-        grace: Duration,
-    ) -> Result<(StatusCode, Bytes), AttemptError> {
-        let deadline = Instant::now() + timeout;
-        let mut connection = self.acquire(deadline).await?;
-        let sent = tokio::time::timeout_at(deadline + grace, send(&mut connection, exchange)).await;
-        match sent {
-            Ok(Ok(answer)) => {
-                self.release(connection);
-                Ok(answer)
-            }
-            Ok(Err(error)) => {
-                self.discard(connection);
-                Err(error)
-            }
-            Err(_) => {
-                self.discard(connection);
-                Err(AttemptError::TimedOut)
-            }
+    /// Keeps `connections` open ahead of requests, as far as the share allows.
+    pub(super) fn warm(self: &Arc<Self>, connections: u32) {
+        let missing = {
+            let mut state = self.state.lock();
+            state.warm = connections;
+            state.close_unused();
+            let wanted = connections.min(state.share);
+            let missing = wanted.saturating_sub(state.open);
+            state.open += missing;
+            state.opening += missing;
+            missing
+        };
+        for _ in 0..missing {
+            tokio::spawn(Arc::clone(self).open_connection());
         }
     }
 
-    async fn acquire(&self, deadline: Instant) -> Result<Connection, AttemptError> {
+    /// Waits for a connection; the caller bounds the wait.
+    pub(super) async fn acquire(
+        self: &Arc<Self>,
+        bound: ReuseBound,
+    ) -> Result<PoolLease, AttemptError> {
+        let failed = self.state.lock().failed;
         loop {
             let released = self.released.notified();
-            match self.take_turn() {
-                PoolTurn::Reuse(connection) => return Ok(connection),
-                PoolTurn::Connect => return self.connect(deadline).await,
-                PoolTurn::Wait => {
-                    let waited = tokio::time::timeout_at(deadline, released).await;
-                    waited.map_err(|_| AttemptError::NotSent)?;
-                }
+            tokio::pin!(released);
+            // Registered before the look at the pool, so that no release is missed.
+            released.as_mut().enable();
+            match self.take_turn(bound) {
+                PoolTurn::Take(idle) => return Ok(self.lease(idle)),
+                PoolTurn::Open => drop(tokio::spawn(Arc::clone(self).open_connection())),
+                PoolTurn::Wait => {}
+            }
+            released.await;
+            let state = self.state.lock();
+            if state.failed != failed && state.idle.is_empty() {
+                return Err(AttemptError::NotSent);
             }
         }
     }
 
-    fn take_turn(&self) -> PoolTurn {
+    /// Takes a connection that is free now.
+    pub(super) fn take_idle(self: &Arc<Self>) -> Option<PoolLease> {
+        let idle = self.state.lock().pop_idle(ReuseBound::Any)?;
+        Some(self.lease(idle))
+    }
+
+    fn lease(self: &Arc<Self>, idle: IdleConnection) -> PoolLease {
+        let IdleConnection { connection, used, .. } = idle;
+        PoolLease { pool: Arc::clone(self), connection: Some(connection), reused: used }
+    }
+
+    fn take_turn(&self, bound: ReuseBound) -> PoolTurn {
         let mut state = self.state.lock();
-        while let Some(connection) = state.idle.pop() {
-            if connection.is_ready() {
-                return PoolTurn::Reuse(connection);
-            }
-            state.open -= 1;
+        if let Some(idle) = state.pop_idle(bound) {
+            return PoolTurn::Take(idle);
+        }
+        if state.open >= state.share && !state.idle.is_empty() {
+            // Those left are too old for this request; one gives way to a new connection.
+            state.close_oldest();
         }
         if state.open < state.share {
             state.open += 1;
-            return PoolTurn::Connect;
+            state.opening += 1;
+            return PoolTurn::Open;
         }
         PoolTurn::Wait
     }
 
-    async fn connect(&self, deadline: Instant) -> Result<Connection, AttemptError> {
-        let opened = tokio::time::timeout_at(deadline, open(self.address)).await;
-        match opened {
-            Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(_)) | Err(_) => {
-                self.give_back();
-                Err(AttemptError::NotSent)
-            }
+    /// Makes one connection, which was counted before, and offers it to the next waiter.
+    async fn open_connection(self: Arc<Self>) {
+        let opened = timeout(CONNECT_TIMEOUT, open(self.address)).await;
+        let mut state = self.state.lock();
+        state.opening -= 1;
+        if let Ok(Some(connection)) = opened {
+            state.made += 1;
+            state.add_idle(connection, false);
+            drop(state);
+            self.released.notify_one();
+        } else {
+            state.open -= 1;
+            state.failed += 1;
+            drop(state);
+            // Whoever waits for a connection must not wait for one that cannot be made.
+            self.released.notify_waiters();
         }
     }
+}
 
-    fn release(&self, connection: Connection) {
-        let mut state = self.state.lock();
-        if state.open > state.share || connection.is_closed() {
-            state.open -= 1;
-        } else {
-            state.idle.push(connection);
+impl PoolState {
+    /// Drops the connections that the target closed.
+    fn drop_closed(&mut self) {
+        let before = self.idle.len();
+        self.idle.retain(|idle| !idle.connection.is_closed());
+        self.open -= (before - self.idle.len()) as u32;
+    }
+
+    /// Takes the connection that was used last and is acceptable.
+    fn pop_idle(&mut self, bound: ReuseBound) -> Option<IdleConnection> {
+        self.drop_closed();
+        self.idle.pop_if(|idle| bound.accepts(idle.since.elapsed()))
+    }
+
+    fn add_idle(&mut self, connection: Connection, used: bool) {
+        if self.open > self.share || connection.is_closed() {
+            self.open -= 1;
+            return;
         }
-        drop(state);
-        self.released.notify_one();
+        self.idle.push(IdleConnection { connection, since: Instant::now(), used });
     }
 
-    fn discard(&self, connection: Connection) {
-        drop(connection);
-        self.give_back();
+    fn close_oldest(&mut self) {
+        self.idle.remove(0);
+        self.open -= 1;
     }
 
-    fn give_back(&self) {
-        self.state.lock().open -= 1;
-        self.released.notify_one();
+    /// Closes connections that a past peak left over.
+    fn close_unused(&mut self) {
+        self.drop_closed();
+        while self.open > self.warm
+            && self.idle.first().is_some_and(|idle| idle.since.elapsed() > IDLE_LIMIT)
+        {
+            self.close_oldest();
+        }
     }
 }
 
-async fn open(address: SocketAddr) -> Result<Connection, AttemptError> {
-    let stream = TcpStream::connect(address).await.map_err(|_| AttemptError::NotSent)?;
-    stream.set_nodelay(true).map_err(|_| AttemptError::NotSent)?;
-    let (sender, driver) =
-        handshake(TokioIo::new(stream)).await.map_err(|_| AttemptError::NotSent)?;
-    tokio::spawn(driver);
-    Ok(sender)
+impl PoolLease {
+    pub(super) const fn connection(&mut self) -> Option<&mut Connection> {
+        self.connection.as_mut()
+    }
+
+    /// Returns whether the connection carried a request before.
+    pub(super) const fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns the connection to the pool.
+    pub(super) fn release(mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        self.pool.state.lock().add_idle(connection, true);
+        self.pool.released.notify_one();
+    }
 }
 
-async fn send(
-    connection: &mut Connection,
-    exchange: HttpExchange,
-) -> Result<(StatusCode, Bytes), AttemptError> {
-    // A connection that closed while idle is seen here, before any byte is written.
-    connection.ready().await.map_err(|_| AttemptError::NotSent)?;
-    let request = Request::post(exchange.path)
-        .header(header::HOST, "target")
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(exchange.body))
-        .map_err(|_| AttemptError::NotSent)?;
-    let response = connection.send_request(request).await.map_err(classify_failure)?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), exchange.max_answer_bytes);
-    let collected = body.collect().await.map_err(|error| {
-        if error.is::<LengthLimitError>() { AttemptError::Oversized } else { AttemptError::Lost }
-    })?;
-    Ok((status, collected.to_bytes()))
+impl Drop for PoolLease {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.pool.state.lock().open -= 1;
+            self.pool.released.notify_one();
+        }
+    }
 }
 
-/// Tells a request that never left from one whose fate is open.
-fn classify_failure(error: hyper::Error) -> AttemptError {
-    if error.is_canceled() { AttemptError::NotSent } else { AttemptError::Lost }
+async fn open(address: SocketAddr) -> Option<Connection> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(driver);
+    Some(sender)
 }
