--- a/crates/figglade-cli/src/args.rs
+++ b/crates/figglade-cli/src/args.rs
@@ -283,13 +283,19 @@
 #[derive(Clone, Debug, Bpaf)]
 pub struct ExceptOptions {
     /// What it applies to: index:NAME, target:NAME, availability_zone:NAME or instance:NAME
-    #[bpaf(long, argument("KIND:NAME"), complete(complete_scope))]
+    #[bpaf(
+        long,
+        argument::<String>("KIND:NAME"),
+        complete(|given: &String| complete_scope(given)),
+        parse(|text| text.parse::<FleetScope>())
+    )]
     pub scope: FleetScope,
     /// A key and its value; may be repeated
     #[bpaf(
         long("set"),
-        argument("KEY=VALUE"),
-        complete(complete_setting),
+        argument::<String>("KEY=VALUE"),
+        complete(|given: &String| complete_setting(given)),
+        parse(|text| text.parse::<SettingArg>()),
         some("--set is needed")
     )]
     pub settings: Vec<SettingArg>,
@@ -446,19 +452,18 @@
     }
 }
 
+/// A completion and what it means.
+type Completion = (String, Option<String>);
+
 /// Completes the kinds of a scope.
-fn complete_scope(given: &FleetScope) -> Vec<(String, Option<String>)> {
-    let given = given.to_string();
+fn complete_scope(given: &str) -> Vec<Completion> {
     let kinds = ["index:", "target:", "availability_zone:", "instance:"];
-    kinds
-        .iter()
-        .filter(|kind| kind.starts_with(&given))
-        .map(|kind| (kind.to_string(), None))
-        .collect()
+    let matching = kinds.iter().filter(|kind| kind.starts_with(given));
+    matching.map(|kind| (kind.to_string(), None)).collect()
 }
 
 /// Completes the names of fleet keys.
-fn complete_setting(given: &SettingArg) -> Vec<(String, Option<String>)> {
-    let matching = FLEET_KEYS.iter().filter(|key| key.name.starts_with(&given.key));
+fn complete_setting(given: &str) -> Vec<Completion> {
+    let matching = FLEET_KEYS.iter().filter(|key| key.name.starts_with(given));
     matching.map(|key| (format!("{}=", key.name), Some(key.meaning.to_owned()))).collect()
 }
--- a/crates/figglade-cli/tests/offline.rs
+++ b/crates/figglade-cli/tests/offline.rs
@@ -47,9 +47,13 @@
 
 #[tokio::test]
 async fn completion_names_fleet_keys() {
-    let args = ["--bpaf-complete-rev=9", "config", "except", "--set", "hedge_budget="];
+    let args = ["--bpaf-complete-rev=8", "config", "except", "--set", "stale"];
     let run = run_cli(&args).await.expect_code(0);
-    assert!(!run.out.contains("staleness_bound_ms"), "{run:?}");
+    assert!(run.out.contains("staleness_bound_ms=") && run.out.contains("stale_query="), "{run:?}");
+    assert!(!run.out.contains("hedge_budget"), "{run:?}");
+    let args = ["--bpaf-complete-rev=8", "config", "except", "--scope", "ava"];
+    let run = run_cli(&args).await.expect_code(0);
+    assert!(run.out.contains("availability_zone:"), "{run:?}");
     let script = run_cli(&["--bpaf-complete-style-bash"]).await.expect_code(0);
     assert!(script.out.contains("figglade"), "{script:?}");
 }
