Give the lease on shares back at a planned stop

Cause: the share of a stopped instance stayed unused until its lease had run out. Change: after its last request a stopping instance closes its connections to targets and releases the lease; gossip goes on until the fleet knows that it leaves.

--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -490,7 +490,7 @@
             manifests,
             share,
         };
-        answer(read.reply, ControlReply::Renewed(renewed));
+        answer(read.reply, ControlReply::Renewed(Box::new(renewed)));
         self.run_share_actions(actions)
     }
 
--- a/crates/figgladed/src/control/message.rs
+++ b/crates/figgladed/src/control/message.rs
@@ -80,7 +80,7 @@
     /// The command was applied.
     Applied(LedgerReply),
     /// The caller holds the latest state as of its sending.
-    Renewed(RenewReply),
+    Renewed(Box<RenewReply>),
     /// The change of members is in the log.
     MemberChanged {
         /// Where it stands in the log.
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -54,6 +54,8 @@
 const MIN_RENEW_PERIOD: Duration = Duration::from_millis(20);
 /// How long one renewal may look for the leader.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long a stopping instance may look for the leader to give its lease back.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a claim may look for the leader.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long the outcome of an action may look for the leader.
@@ -126,6 +128,22 @@
         self.tell_fleet();
     }
 
+    /// Closes every connection to targets and gives the lease on shares back, so that others can
+    /// use them at once.
+    pub async fn release_shares(&self) {
+        self.parts.gossip.visit_caps(|_, address, _| {
+            // Requests are over by now; what is still open is idle.
+            (self.parts.limit_connections)(address, 0);
+        });
+        let share = self.shares.lock().begin_release();
+        let request = ControlRequest::Renew(self.parts.state.renew_request(share));
+        let asked = self.parts.group.ask(&request, ProposeMode::Idempotent, RELEASE_TIMEOUT).await;
+        if let Err(error) = asked {
+            warn!(self.parts.log, "config: the lease on shares runs out by itself";
+                "error" => %error);
+        }
+    }
+
     /// Renews the proof of being current until the task is dropped.
     pub async fn run_renewals(self: Arc<Self>) {
         loop {
@@ -154,7 +172,7 @@
             Ok(ControlReply::Renewed(reply)) => {
                 let has_more = reply.has_more;
                 self.take_grant(reply.share.clone(), sent_at);
-                let change = self.parts.state.take_renewal(reply, sent_at);
+                let change = self.parts.state.take_renewal(*reply, sent_at);
                 if has_more {
                     self.renew_now.notify_one();
                 }
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -78,7 +78,8 @@
     transport: PeerTransport,
     state: Arc<ControlState>,
     timeline: TimelineStore,
-    tasks: Vec<JoinHandle<()>>,
+    gossip_task: JoinHandle<()>,
+    renewal_tasks: Vec<JoinHandle<()>>,
     log: Logger,
 }
 
@@ -119,14 +120,25 @@
         let plane = builder.make_plane(group, Arc::clone(&gossip), handle);
         let server = builder.start_api(&plane)?;
         info!(builder.log, "instance: started"; "http" => %server.local_addr(), "peer" => %peer);
-        let tasks = vec![
-            tokio::spawn(Arc::clone(&gossip).run()),
+        let gossip_task = tokio::spawn(Arc::clone(&gossip).run());
+        let renewal_tasks = vec![
             tokio::spawn(Arc::clone(&plane).run_renewals()),
             tokio::spawn(Arc::clone(&plane).run_manifests()),
         ];
         let InstanceBuilder { state, timeline, log, .. } = builder;
         timeline.record(EventKind::InstanceStarted, None, "");
-        Ok(Self { server, plane, gossip, member, transport, state, timeline, tasks, log })
+        Ok(Self {
+            server,
+            plane,
+            gossip,
+            member,
+            transport,
+            state,
+            timeline,
+            gossip_task,
+            renewal_tasks,
+            log,
+        })
     }
 
     /// Returns where the HTTP interface listens.
@@ -149,6 +161,10 @@
         if let Err(error) = self.server.close().await {
             warn!(self.log, "instance: the HTTP interface did not close"; "error" => error);
         }
+        for task in &self.renewal_tasks {
+            task.abort();
+        }
+        self.plane.release_shares().await;
         if let Some(member) = &self.member {
             member.handle().send(crate::control::MemberInput::HandOver);
         }
@@ -157,9 +173,7 @@
         while !self.gossip.has_left() && tokio::time::Instant::now() < give_up {
             tokio::time::sleep(LEAVE_POLL).await;
         }
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.gossip_task.abort();
         if let Some(member) = self.member {
             // The thread syncs what it has begun; joining it blocks only for that long.
             let closed = tokio::task::spawn_blocking(move || member.close()).await;
