--- a/crates/figglade/examples/embed_fanout.rs
+++ b/crates/figglade/examples/embed_fanout.rs
@@ -121,6 +121,7 @@
         key: SnapshotKey { version: VERSION, epoch: PartitionEpoch::new(1) },
         replicas: replicas.collect(),
         documents: RECORDS.iter().map(|records| Some(records.len() as u64)).collect(),
+        least_slots: 6,
     }
 }
 
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -37,7 +37,11 @@
 /// Builds a holder set.
 fn holders(epoch: u64, names: &[&str]) -> LedgerCommand {
     let holders = names.iter().map(|name| name.parse().unwrap()).collect();
-    LedgerCommand::SetHolders(HolderSet { epoch: ShareEpoch::new(epoch), holders })
+    LedgerCommand::SetHolders(HolderSet {
+        epoch: ShareEpoch::new(epoch),
+        holders,
+        ..HolderSet::default()
+    })
 }
 
 #[test]
--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -54,7 +54,7 @@
     pub fn limit_connections(&self, address: SocketAddr, share: u32) -> bool {
         let Some(pool) = self.pools.lock().get(&address).cloned() else { return true };
         pool.set_share(share);
-        pool.open_connections() <= share
+        pool.gauges().open <= u64::from(share)
     }
 
     /// Returns the open connections to all targets.
