--- a/crates/figgladed/src/api/mod.rs
+++ b/crates/figgladed/src/api/mod.rs
@@ -19,7 +19,7 @@
     wire::{AnnounceResponse, Announcement},
 };
 use serde_json::Value;
-use slog::Logger;
+use slog::{Drain, Level, LevelFilter, Logger, o};
 
 use crate::{
     clock::ProcessClock,
@@ -152,7 +152,9 @@
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
-    ServerBuilder::new(describe_api()?, context, log.clone())
+    // The server writes two lines for each request; only its warnings are kept.
+    let log = Logger::root(LevelFilter::new(log.clone(), Level::Warning).fuse(), o!());
+    ServerBuilder::new(describe_api()?, context, log)
         .config(config)
         .start()
         .map_err(|error| ApiError::Bind { address, reason: error.to_string() })
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -96,6 +96,7 @@
     pub(super) parts: PlaneParts,
     stopping: AtomicBool,
     abandoned: AtomicBool,
+    was_ready: AtomicBool,
     shares: Mutex<ShareHolder>,
     reports: Mutex<Vec<ManifestReport>>,
     reported: Notify,
@@ -116,6 +117,7 @@
             shares: Mutex::new(shares),
             stopping: AtomicBool::new(false),
             abandoned: AtomicBool::new(false),
+            was_ready: AtomicBool::new(false),
             reports: Mutex::default(),
             reported: Notify::new(),
             renew_now,
@@ -265,7 +267,21 @@
             let instance = status.leader?;
             Some(LeaderHint { term: status.term, instance })
         });
-        self.parts.gossip.set_facts(leader, self.unready_reason().is_none());
+        let reason = self.unready_reason();
+        self.parts.gossip.set_facts(leader, reason.is_none());
+        self.note_readiness(reason);
+    }
+
+    /// Records when the instance turns ready or not ready.
+    fn note_readiness(&self, reason: Option<String>) {
+        let ready = reason.is_none();
+        if self.was_ready.swap(ready, Ordering::Relaxed) == ready {
+            return;
+        }
+        let kind = if ready { EventKind::InstanceReady } else { EventKind::InstanceNotReady };
+        let detail = reason.unwrap_or_default();
+        info!(self.parts.log, "instance: readiness changed"; "ready" => ready, "reason" => &detail);
+        self.parts.timeline.record(kind, None, detail);
     }
 
     /// Proposes gathered manifest reports until the task is dropped.
