Send no new work to a target that drains under a request

An action that waited in vain for a free connection was reported unknown although no byte of it had left, and a hit whose score was not a finite number went to the top of the merged answer.

The replicas that take work now are looked up again for every attempt after the first. A request is sent or given up by one atomic step, so that a reader who stops waiting knows which; the action path then says not_run, or tries another replica while there is time. Hits without a finite score are left out.

--- a/crates/figglade/src/filter/fanout/attempts.rs
+++ b/crates/figglade/src/filter/fanout/attempts.rs
@@ -1,6 +1,6 @@
 //! Sending, hedging, retrying, probing and cancelling within one fan-out.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use rand::Rng;
 
@@ -81,12 +81,13 @@
 
 impl FanoutRun {
     /// Returns the replicas of a shard as the picker needs them.
-    fn pick_scope(&self, slot: usize) -> PickScope<'_> {
+    fn pick_scope<'a>(&'a self, slot: usize, live: Option<&'a HashSet<TargetId>>) -> PickScope<'a> {
         let slot = &self.slots[slot];
         PickScope {
             replicas: &self.snapshot.replicas[slot.shard.get() as usize],
             tried: &slot.tried,
             snapshot: Some((&self.index, self.snapshot.key)),
+            live,
         }
     }
 
@@ -96,7 +97,8 @@
 
     fn may_send_more(&self, slot: usize) -> bool {
         let sent = self.slots[slot].attempts.len();
-        let replicas = self.pick_scope(slot).replicas.len();
+        let shard = self.slots[slot].shard.get() as usize;
+        let replicas = self.snapshot.replicas[shard].len();
         sent < replicas.min(self.policy.max_attempts as usize)
     }
 
@@ -136,7 +138,9 @@
         if !self.may_send_more(slot) {
             return;
         }
-        let picked = self.tools.picker.pick_hedge(&self.pick_scope(slot), now, rng).map(Arc::clone);
+        let live = self.tools.picker.live.get();
+        let scope = self.pick_scope(slot, live.as_deref());
+        let picked = self.tools.picker.pick_hedge(&scope, now, rng).map(Arc::clone);
         match picked {
             Some(route) if self.tools.hedges.withdraw() => {
                 self.begin_attempt(slot, route, AttemptKind::Hedge, now, actions);
@@ -169,7 +173,13 @@
         rng: &mut impl Rng,
         actions: &mut Vec<FanoutAction>,
     ) -> bool {
-        let picked = self.tools.picker.pick(&self.pick_scope(slot), now, rng).map(Arc::clone);
+        // First attempts follow the reading of the routes at once; later ones may come long after.
+        let live = match kind {
+            AttemptKind::First => None,
+            _ => self.tools.picker.live.get(),
+        };
+        let scope = self.pick_scope(slot, live.as_deref());
+        let picked = self.tools.picker.pick(&scope, now, rng).map(Arc::clone);
         let Some(route) = picked else { return false };
         self.begin_attempt(slot, route, kind, now, actions);
         true
@@ -205,7 +215,7 @@
         actions: &mut Vec<FanoutAction>,
     ) {
         let may_spend = || self.tools.hedges.withdraw();
-        let scope = self.pick_scope(slot);
+        let scope = self.pick_scope(slot, None);
         let claimed = self.tools.picker.claim_probe(&scope, now, may_spend).map(Arc::clone);
         let Some(route) = claimed else { return };
         let number = FIRST_PROBE + u128::from(self.probe_count);
--- a/crates/figglade/src/filter/merge.rs
+++ b/crates/figglade/src/filter/merge.rs
@@ -57,7 +57,8 @@
 /// Returns the best `limit` hits, highest score first, ties by id, each id once.
 fn merge_hits(hits: impl Iterator<Item = SearchHit>, limit: usize) -> Vec<SearchHit> {
     let mut best: HashMap<String, SearchHit> = HashMap::new();
-    for hit in hits {
+    // A score that is no number has no place in the order.
+    for hit in hits.filter(|hit| hit.score.is_finite()) {
         match best.get(&hit.id) {
             Some(known) if known.score >= hit.score => {}
             _ => {
--- a/crates/figglade/src/filter/picker.rs
+++ b/crates/figglade/src/filter/picker.rs
@@ -1,7 +1,7 @@
 //! Choice of a replica from latency, load, zone and ejection.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -42,6 +42,26 @@
     pub cold_start: Duration,
     /// Ejections in force, counted against the cap.
     pub ejections: Arc<EjectionCounter>,
+    /// The targets that take new work now.
+    pub live: LiveTargets,
+}
+
+/// The targets of an index that take new work now, which a pinned snapshot may outlive.
+#[derive(Debug, Default)]
+pub struct LiveTargets {
+    targets: Mutex<Option<Arc<HashSet<TargetId>>>>,
+}
+
+impl LiveTargets {
+    /// Replaces the targets.
+    pub fn set(&self, targets: HashSet<TargetId>) {
+        *lock(&self.targets) = Some(Arc::new(targets));
+    }
+
+    /// Returns the targets, or `None` before they were set.
+    pub fn get(&self) -> Option<Arc<HashSet<TargetId>>> {
+        lock(&self.targets).clone()
+    }
 }
 
 /// Bounds how many targets may be ejected at a time.
@@ -91,6 +111,8 @@
     pub tried: &'a [TargetId],
     /// The snapshot that the attempt needs; `None` where any will do.
     pub snapshot: Option<(&'a IndexName, SnapshotKey)>,
+    /// The targets that take new work; `None` where the replicas were read just now.
+    pub live: Option<&'a HashSet<TargetId>>,
 }
 
 impl<'a> PickScope<'a> {
@@ -99,10 +121,11 @@
         &self,
         now: Timestamp,
     ) -> impl Iterator<Item = (&'a Arc<TargetRoute>, LoadView)> {
-        let Self { replicas, tried, snapshot } = *self;
+        let Self { replicas, tried, snapshot, live } = *self;
         replicas
             .iter()
             .filter(move |route| !tried.contains(&route.target))
+            .filter(move |route| live.is_none_or(|live| live.contains(&route.target)))
             .filter(move |route| {
                 !snapshot.is_some_and(|(index, key)| route.load.lacks(index, key, now))
             })
--- a/crates/figglade/tests/fanout_replies.rs
+++ b/crates/figglade/tests/fanout_replies.rs
@@ -128,3 +128,25 @@
     }
     assert!(retries * 100 <= first * 2, "{retries} retries for {first} first attempts");
 }
+
+#[test]
+fn test_no_new_work_goes_to_a_target_that_drains_under_a_request() {
+    let (snapshot, tools) = (snapshot(1, 3), tools(3));
+    let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+    let first = run.first[0].clone();
+    let others = snapshot.replicas[0].iter().map(|route| &route.target);
+    let mut live: std::collections::HashSet<_> = others.cloned().collect();
+    live.remove(&first.route.target);
+    let drained = live.iter().next().cloned().expect("two others");
+    live.remove(&drained);
+    tools.picker.live.set(live.clone());
+    let error = Err(AttemptError::Lost);
+    let (_, actions) = run.run.handle_reply(first.attempt, error, NOW, &mut run.rng);
+    let retries = sent(&actions);
+    assert_eq!(retries.len(), 1);
+    assert!(live.contains(&retries[0].route.target));
+    tools.picker.live.set(std::collections::HashSet::new());
+    let error = Err(AttemptError::Lost);
+    let (_, actions) = run.run.handle_reply(retries[0].attempt, error, NOW, &mut run.rng);
+    assert!(sent(&actions).is_empty() && run.run.is_done());
+}
--- a/crates/figglade/tests/filter_support/mod.rs
+++ b/crates/figglade/tests/filter_support/mod.rs
@@ -9,7 +9,7 @@
         budget::AttemptBudget,
         fanout::{AttemptKind, FanoutAction, FanoutPolicy, FanoutRun, FanoutTools},
         latency::LatencyTracker,
-        picker::{EjectionCounter, ReplicaPicker},
+        picker::{EjectionCounter, LiveTargets, ReplicaPicker},
         routing::{SnapshotKey, SnapshotRoute, TargetRoute},
     },
     wire::{SearchHit, SearchReply},
@@ -67,6 +67,7 @@
         zone: "svealand-a".parse().expect("a valid name"),
         cold_start: Duration::ZERO,
         ejections,
+        live: LiveTargets::default(),
     }
 }
 
--- /dev/null
+++ b/crates/figglade/tests/merge_accounts.rs
@@ -0,0 +1,90 @@
+//! Merging and coverage under answers that claim too much, too little or twice.
+
+mod filter_support;
+
+use figglade::{
+    ShardId,
+    filter::merge::{AskedShard, ShardResult, merge_shards},
+    wire::{MissingReason, SearchHit},
+};
+use filter_support::{hit, seeded};
+use rand::RngExt;
+
+fn answered(shard: u32, documents: Option<u64>, searched: u64, hits: Vec<SearchHit>) -> AskedShard {
+    let result = ShardResult::Answered { documents_searched: searched, hits };
+    AskedShard { shard: ShardId::new(shard), documents, result }
+}
+
+fn missing(shard: u32, documents: Option<u64>) -> AskedShard {
+    let result = ShardResult::Missing(MissingReason::Deadline);
+    AskedShard { shard: ShardId::new(shard), documents, result }
+}
+
+#[test]
+fn test_each_id_is_returned_once_with_its_best_score_in_one_order() {
+    let lists = vec![
+        answered(0, Some(1), 1, vec![hit("b", 2.0), hit("a", 1.0), hit("a", 1.0)]),
+        answered(1, Some(1), 1, vec![hit("a", 3.0), hit("c", 2.0), hit("d", -1.0)]),
+    ];
+    let mut turned = lists.clone();
+    turned.reverse();
+    for lists in [lists, turned] {
+        let merged = merge_shards(lists, 3);
+        let hits: Vec<_> = merged.hits.iter().map(|hit| (hit.id.as_str(), hit.score)).collect();
+        assert_eq!(hits, [("a", 3.0), ("b", 2.0), ("c", 2.0)]);
+    }
+}
+
+#[test]
+fn test_extreme_scores_and_more_hits_than_the_limit_stay_bounded() {
+    let scores = [f64::MAX, f64::MIN, f64::INFINITY, f64::NEG_INFINITY, -0.0, 0.0, f64::NAN];
+    let hits = scores.iter().enumerate().map(|(number, score)| hit(&number.to_string(), *score));
+    let merged = merge_shards(vec![answered(0, Some(1), 1, hits.collect())], 3);
+    let ids: Vec<_> = merged.hits.iter().map(|hit| hit.id.as_str()).collect();
+    assert_eq!(ids, ["0", "5", "4"]);
+}
+
+#[test]
+fn test_a_shard_cannot_make_up_for_another() {
+    let merged =
+        merge_shards(vec![answered(0, Some(10), 1_000, Vec::new()), missing(1, Some(30))], 10);
+    assert_eq!(merged.coverage.documents_searched, 10);
+    assert_eq!(merged.coverage.documents_total, Some(40));
+    assert_eq!(merged.coverage.fraction, Some(0.25));
+    assert!(!merged.complete);
+}
+
+#[test]
+fn test_an_unknown_total_is_null_and_never_complete() {
+    let merged = merge_shards(vec![answered(0, None, 10, Vec::new())], 10);
+    assert_eq!(merged.coverage.documents_total, None);
+    assert_eq!(merged.coverage.fraction, None);
+    assert!(!merged.complete);
+}
+
+#[test]
+fn test_coverage_is_that_of_a_plain_count_for_random_answers() {
+    let mut rng = seeded(11);
+    for _ in 0..500 {
+        let mut shards = Vec::new();
+        let (mut searched, mut total, mut full) = (0, 0, true);
+        for shard in 0..rng.random_range(1..20) {
+            let documents = rng.random_range(0..100);
+            total += documents;
+            if rng.random_bool(0.2) {
+                shards.push(missing(shard, Some(documents)));
+                full = false;
+                continue;
+            }
+            let claimed = rng.random_range(0..120);
+            searched += claimed.min(documents);
+            full &= claimed >= documents;
+            shards.push(answered(shard, Some(documents), claimed, Vec::new()));
+        }
+        let merged = merge_shards(shards, 1);
+        assert_eq!(merged.coverage.documents_searched, searched);
+        assert_eq!(merged.coverage.documents_total, Some(total));
+        assert_eq!(merged.complete, full);
+        assert_eq!(merged.coverage.fraction == Some(1.0), searched == total && (total > 0 || full));
+    }
+}
--- a/crates/figgladed/src/target_client/exchange.rs
+++ b/crates/figgladed/src/target_client/exchange.rs
@@ -1,6 +1,12 @@
 //! One request and its answer over a connection of a pool.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use figglade::border::AttemptError;
@@ -10,6 +16,8 @@
 
 use super::pool::{PoolLease, ReuseBound, TargetPool};
 
+/// How long a connection whose search was cancelled may still answer before it is closed.
+const CANCEL_GRACE: Duration = Duration::from_millis(250);
 /// The stale connections that one request may meet before it is given up.
 const MAX_STALE: u32 = 4;
 
@@ -22,16 +30,51 @@
     pub(super) max_answer_bytes: usize,
 }
 
-type ExchangeAnswer = Result<(StatusCode, Bytes), AttemptError>;
+/// Decides once whether a request is sent or given up, so that a reader who stops waiting knows
+/// whether a byte may have left.
+#[derive(Debug, Default)]
+pub(super) struct SendGate {
+    state: AtomicU8,
+}
+
+/// Nothing was sent yet.
+const GATE_OPEN: u8 = 0;
+/// The request may have been sent.
+const GATE_SENT: u8 = 1;
+/// The request was given up and is never sent.
+const GATE_CLOSED: u8 = 2;
+
+impl SendGate {
+    /// Returns whether the request may be sent now.
+    fn begin(&self) -> bool {
+        self.step(GATE_OPEN, GATE_SENT)
+    }
+
+    /// Takes back a sending of which no byte was written.
+    fn undo(&self) {
+        self.step(GATE_SENT, GATE_OPEN);
+    }
+
+    /// Returns whether the request was surely not sent and never will be.
+    pub(super) fn give_up(&self) -> bool {
+        self.step(GATE_OPEN, GATE_CLOSED)
+    }
+
+    fn step(&self, from: u8, to: u8) -> bool {
+        self.state.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
+pub(super) type ExchangeAnswer = Result<(StatusCode, Bytes), AttemptError>;
 
 /// Runs an exchange for the reader behind `sender`. When the reader leaves before the request was
-/// sent, nothing is sent; when it leaves later, the answer has `grace` to come before the
-/// connection is closed.
+/// sent, nothing is sent; when it leaves later, the answer has a short time to come before
+/// the connection is closed.
 pub(super) async fn run_exchange(
     pool: Arc<TargetPool>,
     exchange: HttpExchange,
     bound: ReuseBound,
-    grace: Duration,
+    gate: Arc<SendGate>,
     mut sender: oneshot::Sender<ExchangeAnswer>,
 ) {
     let mut stale = 0;
@@ -44,12 +87,16 @@
             Ok(lease) => lease,
             Err(error) => break Err(error),
         };
+        if !gate.begin() {
+            lease.release();
+            return;
+        }
         let answer = {
             let sending = send(&mut lease, &exchange);
             tokio::pin!(sending);
             tokio::select! {
                 answer = &mut sending => Some(answer),
-                () = sender.closed() => timeout(grace, sending).await.ok(),
+                () = sender.closed() => timeout(CANCEL_GRACE, sending).await.ok(),
             }
         };
         let Some(answer) = answer else { return };
@@ -58,7 +105,10 @@
                 lease.release();
                 break Ok(answer);
             }
-            Err(AttemptError::NotSent) if lease.is_reused() && stale < MAX_STALE => stale += 1,
+            Err(AttemptError::NotSent) if lease.is_reused() && stale < MAX_STALE => {
+                stale += 1;
+                gate.undo();
+            }
             Err(error) => break Err(error),
         }
     };
--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -16,13 +16,11 @@
 use tokio::sync::oneshot;
 
 use self::{
-    exchange::{HttpExchange, run_cancel, run_exchange},
+    exchange::{HttpExchange, SendGate, run_cancel, run_exchange},
     pool::{ReuseBound, TargetPool},
 };
 use crate::metrics::PoolGauges;
 
-/// How long a connection whose search was cancelled may still answer before it is closed.
-const CANCEL_GRACE: Duration = Duration::from_millis(250);
 /// How long a cancellation may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an action trusts an idle connection.
@@ -99,12 +97,15 @@
         };
         let pool = self.pool_of(endpoint);
         let (sender, receiver) = oneshot::channel();
-        tokio::spawn(run_exchange(pool, exchange, bound, CANCEL_GRACE, sender));
+        let gate = Arc::new(SendGate::default());
+        tokio::spawn(run_exchange(pool, exchange, bound, Arc::clone(&gate), sender));
         Box::pin(async move {
             match tokio::time::timeout(timeout, receiver).await {
                 Ok(Ok(Ok((status, body)))) => read_answer(status, &body),
                 Ok(Ok(Err(error))) => Err(error),
                 Ok(Err(_)) => Err(AttemptError::Lost),
+                // The target is not to blame where no connection was free.
+                Err(_) if gate.give_up() => Err(AttemptError::NotSent),
                 Err(_) => Err(AttemptError::TimedOut),
             }
         })
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -156,7 +156,9 @@
         loop {
             let now = self.now();
             let picker = &view.tools.picker;
-            let scope = PickScope { replicas, tried: &tried, snapshot: None };
+            let live = picker.live.get();
+            let (tried_now, live) = (&tried, live.as_deref());
+            let scope = PickScope { replicas, tried: tried_now, snapshot: None, live };
             let picked = picker.pick(&scope, now, &mut rand::rng()).map(Arc::clone);
             let Some(route) = picked else { return SendEnd::NotRun(AttemptError::NotSent) };
             tried.push(route.target.clone());
--- a/crates/figgladed/src/tier/board.rs
+++ b/crates/figgladed/src/tier/board.rs
@@ -1,15 +1,19 @@
 //! What requests read: the routes and the settings of each index, in shards under their own locks.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use figglade::{
-    ConfigVersion, IndexName, ZoneName,
+    ConfigVersion, IndexName, TargetId, ZoneName,
     controller::fleet::FleetDefaults,
     filter::{
         budget::AttemptBudget,
         fanout::{FanoutPolicy, FanoutTools},
         latency::LatencyTracker,
-        picker::{EjectionCounter, LoadRegistry, ReplicaPicker},
+        picker::{EjectionCounter, LiveTargets, LoadRegistry, ReplicaPicker},
         routing::IndexRoute,
     },
 };
@@ -104,7 +108,7 @@
         settings: FleetDefaults,
         known: Option<IndexView>,
     ) -> IndexView {
-        let targets = count_targets(&route);
+        let targets = list_targets(&route);
         let kept = known.filter(|known| *known.settings == settings);
         let (settings, tools) = match kept {
             Some(known) => (known.settings, known.tools),
@@ -113,7 +117,8 @@
                 (Arc::new(settings), Arc::new(tools))
             }
         };
-        tools.picker.ejections.set_targets(targets);
+        tools.picker.ejections.set_targets(targets.len() as u32);
+        tools.picker.live.set(targets);
         IndexView { index: index.clone(), route, settings, tools }
     }
 
@@ -123,6 +128,7 @@
                 zone: self.zone.clone(),
                 cold_start: Duration::from_millis(settings.cold_start_ms),
                 ejections: Arc::new(EjectionCounter::default()),
+                live: LiveTargets::default(),
             },
             hedges: AttemptBudget::default(),
             retries: AttemptBudget::default(),
@@ -148,14 +154,7 @@
     }
 }
 
-fn count_targets(route: &IndexRoute) -> u32 {
-    let mut targets: Vec<_> = route
-        .snapshots
-        .iter()
-        .flat_map(|snapshot| snapshot.replicas.iter().flatten())
-        .map(|route| &route.target)
-        .collect();
-    targets.sort();
-    targets.dedup();
-    targets.len() as u32
+fn list_targets(route: &IndexRoute) -> HashSet<TargetId> {
+    let replicas = route.snapshots.iter().flat_map(|snapshot| snapshot.replicas.iter().flatten());
+    replicas.map(|route| route.target.clone()).collect()
 }
--- a/crates/figgladed/tests/target_client_pool.rs
+++ b/crates/figgladed/tests/target_client_pool.rs
@@ -200,3 +200,17 @@
     wait_until("the connection is closed", || client.open_connections() == 0).await;
     target.close().await;
 }
+
+#[tokio::test]
+async fn test_an_action_that_waited_in_vain_for_a_connection_was_not_sent() {
+    let target = start_target(|_| {}).await;
+    let client = HttpTargetClient::new(1 << 20);
+    let short = Duration::from_millis(20);
+    let waited = client.act(&endpoint(target.address(), 0), act_call(1), short).await;
+    assert_eq!(waited.map(|_| ()), Err(AttemptError::NotSent));
+    // The connection that is free now is not used for the action given up.
+    let second = client.act(&endpoint(target.address(), 1), act_call(2), TIMEOUT).await;
+    assert!(second.is_ok(), "{second:?}");
+    assert_eq!(target.ran_actions().len(), 1);
+    target.close().await;
+}
