--- a/crates/figgladed/src/tier/drive.rs
+++ b/crates/figgladed/src/tier/drive.rs
@@ -25,6 +25,10 @@
 /// The longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How much longer than the request an attempt waits, so that the end of the request comes first
+/// and cancels it at the target.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(50);
+
 /// What a fan-out over one snapshot ended with.
 pub(super) struct FanoutEnd {
     pub(super) key: SnapshotKey,
@@ -214,7 +218,7 @@
     ) -> BoxFuture<AttemptAnswer> {
         let now = self.tier.now();
         let call: SearchCall = self.plan.search_call(attempt, shard, self.key, now);
-        let timeout = self.plan.deadline.since(now).min(longest);
+        let timeout = (self.plan.deadline.since(now) + TIMEOUT_SLACK).min(longest);
         self.tier.parts.client.search(&self.tier.endpoint_of(route), call, timeout)
     }
 
