Keep what attempts showed across a change of settings

Every change of configuration threw away budgets, ejections and the hedge delay of all indexes. Only a change of cold_start_ms rebuilds them now. An action now answers within the margin that searches keep, is not sent once its deadline passed, and what waits for a connection to a target that left fails at once instead of at the deadline. Answers that are wrong, malformed or oversized leave a throttled event beside their counter.

--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -41,10 +41,11 @@
         Self { pools: Mutex::default(), max_answer_bytes }
     }
 
-    /// Closes the idle connections to a target that left; busy ones close when they are done.
+    /// Closes the idle connections to a target that left; busy ones close when they are done, and
+    /// what waits for one fails.
     pub fn forget_target(&self, address: SocketAddr) {
         if let Some(pool) = self.pools.lock().remove(&address) {
-            pool.set_share(0);
+            pool.close();
         }
     }
 
--- a/crates/figgladed/src/target_client/pool.rs
+++ b/crates/figgladed/src/target_client/pool.rs
@@ -61,6 +61,7 @@
     warm: u32,
     made: u64,
     failed: u64,
+    closed: bool,
 }
 
 #[derive(Debug)]
@@ -84,6 +85,7 @@
     Take(IdleConnection),
     Open,
     Wait,
+    Refuse,
 }
 
 impl TargetPool {
@@ -91,6 +93,13 @@
         Self { address, state: Mutex::default(), released: Notify::new() }
     }
 
+    /// Closes the pool of a target that left; requests that wait for a connection fail.
+    pub(super) fn close(&self) {
+        self.state.lock().closed = true;
+        self.set_share(0);
+        self.released.notify_waiters();
+    }
+
     /// Sets the share; idle connections above it close at once, busy ones when they are done.
     pub(super) fn set_share(&self, share: u32) {
         let mut state = self.state.lock();
@@ -150,6 +159,7 @@
                 PoolTurn::Take(idle) => return Ok(self.lease(idle)),
                 PoolTurn::Open => drop(tokio::spawn(Arc::clone(self).open_connection())),
                 PoolTurn::Wait => {}
+                PoolTurn::Refuse => return Err(AttemptError::NotSent),
             }
             released.await;
             let state = self.state.lock();
@@ -172,6 +182,9 @@
 
     fn take_turn(&self, bound: ReuseBound) -> PoolTurn {
         let mut state = self.state.lock();
+        if state.closed {
+            return PoolTurn::Refuse;
+        }
         if let Some(idle) = state.pop_idle(bound) {
             return PoolTurn::Take(idle);
         }
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -1,6 +1,6 @@
 //! Actions: claim durably, send once, record the outcome.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use figglade::{
@@ -16,7 +16,7 @@
 };
 use serde_json::value::RawValue;
 
-use super::{IndexView, QueryTier, Refusal, TierError, millis_left, validate};
+use super::{IndexView, QueryTier, Refusal, TierError, millis_left, query::answer_by, validate};
 
 /// One action on its way.
 struct ActionPlan {
@@ -50,7 +50,7 @@
         validate::check_key(&request.key)?;
         check_version(request.request_id)?;
         let digest = BodyDigest::of_action(&request.index, &request.key, request.body.get());
-        let deadline = received + Duration::from_millis(request.deadline_ms);
+        let deadline = answer_by(received, request.deadline_ms, settings.answer_margin_ms);
         let plan = ActionPlan { request, digest, deadline };
         if let Some(reason) = self.parts.control.refuse_action(&settings) {
             // Without a current view of the log nothing can be said about the identifier.
@@ -155,6 +155,9 @@
         let mut tried = Vec::new();
         loop {
             let now = self.now();
+            if now >= plan.deadline {
+                return SendEnd::NotRun(AttemptError::NotSent);
+            }
             let picker = &view.tools.picker;
             let live = picker.live.get();
             let (tried_now, live) = (&tried, live.as_deref());
@@ -165,7 +168,7 @@
             let end = self.send_act(plan, view, &route, shard).await;
             match end {
                 Ok(reply) => return SendEnd::Done(reply.result),
-                Err(AttemptError::NotSent) if self.now() < plan.deadline => {}
+                Err(AttemptError::NotSent) => {}
                 Err(error) if error.is_surely_not_run() => return SendEnd::NotRun(error),
                 Err(error) => return SendEnd::Unknown(error),
             }
--- a/crates/figgladed/src/tier/board.rs
+++ b/crates/figgladed/src/tier/board.rs
@@ -109,13 +109,17 @@
         known: Option<IndexView>,
     ) -> IndexView {
         let targets = list_targets(&route);
-        let kept = known.filter(|known| *known.settings == settings);
-        let (settings, tools) = match kept {
-            Some(known) => (known.settings, known.tools),
-            None => {
-                let tools = self.make_tools(&settings);
-                (Arc::new(settings), Arc::new(tools))
-            }
+        let cold_start = |settings: &FleetDefaults| settings.cold_start_ms;
+        // What attempts showed outlives a change of settings, but for those built into the tools.
+        let kept =
+            known.as_ref().filter(|known| cold_start(&known.settings) == cold_start(&settings));
+        let tools = match kept {
+            Some(known) => Arc::clone(&known.tools),
+            None => Arc::new(self.make_tools(&settings)),
+        };
+        let settings = match known {
+            Some(known) if *known.settings == settings => known.settings,
+            _ => Arc::new(settings),
         };
         tools.picker.ejections.set_targets(targets.len() as u32);
         tools.picker.live.set(targets);
--- a/crates/figgladed/src/tier/drive.rs
+++ b/crates/figgladed/src/tier/drive.rs
@@ -146,10 +146,21 @@
         match error {
             AttemptError::Shed => self.tier.admission.note_shed(&self.plan.index),
             AttemptError::VersionNotHeld => self.lost_snapshot = self.run().lost_snapshot(),
+            AttemptError::Mismatched | AttemptError::Malformed | AttemptError::Oversized => {
+                self.note_discard(error);
+            }
             _ => {}
         }
     }
 
+    fn note_discard(&self, error: AttemptError) {
+        if self.tier.discard_events.allow(self.tier.now()) {
+            let detail = format!("index {}: {error}", self.plan.index);
+            let request = Some(self.plan.request);
+            self.tier.parts.control.note(EventKind::AnswerDiscarded, request, detail);
+        }
+    }
+
     fn run_actions(&mut self, actions: Vec<FanoutAction>) {
         for action in actions {
             match action {
--- a/crates/figgladed/src/tier/mod.rs
+++ b/crates/figgladed/src/tier/mod.rs
@@ -91,6 +91,7 @@
     admission: AdmissionGate,
     refusal_events: EventThrottle,
     partial_events: EventThrottle,
+    discard_events: EventThrottle,
 }
 
 impl QueryTier {
@@ -103,6 +104,7 @@
             admission,
             refusal_events: EventThrottle::default(),
             partial_events: EventThrottle::default(),
+            discard_events: EventThrottle::default(),
         }
     }
 
--- a/crates/figgladed/src/tier/query.rs
+++ b/crates/figgladed/src/tier/query.rs
@@ -253,7 +253,7 @@
 }
 
 /// Returns when the answer must be ready; half of a short deadline is left for the search.
-fn answer_by(received: Timestamp, deadline_ms: u64, margin_ms: u64) -> Timestamp {
+pub(super) fn answer_by(received: Timestamp, deadline_ms: u64, margin_ms: u64) -> Timestamp {
     let margin = margin_ms.min(deadline_ms / 2);
     received + Duration::from_millis(deadline_ms - margin)
 }
--- a/crates/figgladed/tests/target_client_pool.rs
+++ b/crates/figgladed/tests/target_client_pool.rs
@@ -214,3 +214,16 @@
     assert_eq!(target.ran_actions().len(), 1);
     target.close().await;
 }
+
+#[tokio::test]
+async fn test_requests_that_wait_for_a_target_that_left_fail_at_once() {
+    let target = start_target(|_| {}).await;
+    let client = HttpTargetClient::new(1 << 20);
+    let endpoint = endpoint(target.address(), 0);
+    let waiting = client.search(&endpoint, search_call(1), TIMEOUT);
+    tokio::pin!(waiting);
+    assert!(futures::poll!(&mut waiting).is_pending());
+    client.forget_target(target.address());
+    assert_eq!(waiting.await.map(|_| ()), Err(AttemptError::NotSent));
+    target.close().await;
+}
