Let bursts wait longer than a standing queue

A tenth of the time left was too little for a burst after quiet and is right for a queue that stands: what waits there only delays everything behind it. A queue that was empty within the last half second may now grow to three tenths of the time left.

--- a/crates/figglade/src/filter/admission/lane.rs
+++ b/crates/figglade/src/filter/admission/lane.rs
@@ -18,6 +18,12 @@
 const SHED_PERIOD: Duration = Duration::from_millis(100);
 /// The share of the running cost kept for narrow requests, beyond that of broad ones.
 const NARROW_RESERVE: f64 = 0.25;
+/// The share of the time left that a request may wait in a burst.
+const BURST_SHARE: f64 = 0.3;
+/// The share of the time left that a request may wait behind a standing queue.
+const STANDING_SHARE: f64 = 0.1;
+/// How long a queue that never empties is a burst.
+const STANDING_AFTER: Duration = Duration::from_millis(500);
 /// The weight of a new sample of the service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 
@@ -35,6 +41,8 @@
     running_cost: u64,
     queued_cost: u64,
     queue: VecDeque<WaitingRequest>,
+    /// Since when the queue was never empty.
+    queued_since: Option<Timestamp>,
     /// The mean time a request runs.
     service_time: Duration,
 }
@@ -50,6 +58,16 @@
     narrow: BreadthState,
 }
 
+impl BreadthState {
+    /// Accounts for a request that left the queue.
+    fn settle_queue(&mut self, cost: u32) {
+        self.queued_cost -= u64::from(cost);
+        if self.queue.is_empty() {
+            self.queued_since = None;
+        }
+    }
+}
+
 impl Default for AdmissionLane {
     fn default() -> Self {
         Self {
@@ -119,8 +137,14 @@
         self.factor = (self.factor * SHED_FACTOR).max(MIN_FACTOR);
     }
 
-    pub(super) fn enqueue(&mut self, breadth: RequestBreadth, waiting: WaitingRequest) {
+    pub(super) fn enqueue(
+        &mut self,
+        breadth: RequestBreadth,
+        waiting: WaitingRequest,
+        now: Timestamp,
+    ) {
         let state = self.state_mut(breadth);
+        state.queued_since.get_or_insert(now);
         state.queued_cost += u64::from(waiting.cost);
         state.queue.push_back(waiting);
     }
@@ -128,7 +152,7 @@
     pub(super) fn dequeue(&mut self, breadth: RequestBreadth) -> Option<WaitingRequest> {
         let state = self.state_mut(breadth);
         let waiting = state.queue.pop_front()?;
-        state.queued_cost -= u64::from(waiting.cost);
+        state.settle_queue(waiting.cost);
         Some(waiting)
     }
 
@@ -136,11 +160,21 @@
         [&mut self.broad, &mut self.narrow].into_iter().any(|state| {
             let position = state.queue.iter().position(|waiting| waiting.ticket == ticket);
             let removed = position.and_then(|position| state.queue.remove(position));
-            state.queued_cost -= removed.map_or(0, |waiting| u64::from(waiting.cost));
+            if let Some(waiting) = removed {
+                state.settle_queue(waiting.cost);
+            }
             removed.is_some()
         })
     }
 
+    /// Returns the share of the time left that a request may be expected to wait: more in a burst
+    /// than behind a queue that does not empty, which only delays everything behind it.
+    pub(super) fn wait_share(&self, breadth: RequestBreadth, now: Timestamp) -> f64 {
+        let since = self.state(breadth).queued_since;
+        let standing = since.is_some_and(|since| now.since(since) > STANDING_AFTER);
+        if standing { STANDING_SHARE } else { BURST_SHARE }
+    }
+
     /// Estimates how long a request would wait behind those that wait now.
     pub(super) fn estimate_wait(&self, request: &AdmissionRequest) -> Duration {
         let state = self.state(request.breadth);
--- a/crates/figglade/src/filter/admission/mod.rs
+++ b/crates/figglade/src/filter/admission/mod.rs
@@ -85,8 +85,6 @@
     lanes: BTreeMap<IndexName, AdmissionLane>,
 }
 
-/// The share of the time left that a request may be expected to wait.
-const MAX_WAIT_SHARE: f64 = 0.1;
 /// The shortest suggested wait of a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The most lanes; those without work are dropped beyond.
@@ -130,15 +128,16 @@
         }
         let wait = lane.estimate_wait(request);
         let left = request.deadline.since(now);
+        let longest = left.mul_f64(lane.wait_share(request.breadth, now));
         let hopeless = now + wait + lane.service_time(request.breadth) > request.deadline;
-        if queued >= limits.max_queued || hopeless || wait > left.mul_f64(MAX_WAIT_SHARE) {
+        if queued >= limits.max_queued || hopeless || wait > longest {
             return AdmissionVerdict::Refuse { retry_after: wait.max(MIN_RETRY_AFTER) };
         }
         self.next_ticket += 1;
         self.queued += 1;
         let ticket = AdmissionTicket(self.next_ticket);
         let waiting = WaitingRequest { ticket, cost: request.cost, deadline: request.deadline };
-        self.lane_of(&request.index).enqueue(request.breadth, waiting);
+        self.lane_of(&request.index).enqueue(request.breadth, waiting, now);
         AdmissionVerdict::Wait(ticket)
     }
 
--- a/crates/figglade/src/filter/picker.rs
+++ b/crates/figglade/src/filter/picker.rs
@@ -28,8 +28,8 @@
 const COLD_START_FACTOR: f64 = 4.0;
 /// How many times the latency of the best replica makes a replica slow.
 const SLOW_FACTOR: f64 = 2.0;
-/// The latency below which no replica counts as slow, in milliseconds.
-const SLOW_FLOOR_MS: f64 = 1.0;
+/// The difference to the best replica below which none counts as slow, in milliseconds.
+const SLOW_MARGIN_MS: f64 = 2.0;
 /// How long an ejection counts against the cap after it turned half-open without a probe.
 const HALF_OPEN_COUNTED: Duration = Duration::from_secs(5);
 
@@ -245,5 +245,5 @@
 /// Returns whether a replica is far slower than the best one.
 fn is_slow(view: &LoadView, best: Option<f64>) -> bool {
     let Some((latency, best)) = view.latency_ms.zip(best) else { return false };
-    latency > SLOW_FLOOR_MS && latency > best * SLOW_FACTOR
+    latency > best + SLOW_MARGIN_MS && latency > best * SLOW_FACTOR
 }
--- a/crates/figglade/tests/admission_overload.rs
+++ b/crates/figglade/tests/admission_overload.rs
@@ -238,3 +238,35 @@
     assert!(turns[0].ticket == second && turns[0].runs);
     assert_eq!(controller.load(), (1, 0));
 }
+
+#[test]
+fn test_a_burst_may_wait_longer_than_a_standing_queue() {
+    let mut controller = AdmissionController::new(LIMITS);
+    let request_at = |now: Timestamp| broad(&index(), now + Duration::from_secs(1));
+    let fill = |controller: &mut AdmissionController, now: Timestamp| {
+        let mut waiting = 0;
+        loop {
+            match controller.admit(&request_at(now), CAPACITY, now) {
+                AdmissionVerdict::Run => {}
+                AdmissionVerdict::Wait(_) => waiting += 1,
+                AdmissionVerdict::Refuse { .. } => return waiting,
+            }
+        }
+    };
+    let start = Timestamp::ZERO;
+    // The service time of 100 ms is known from earlier requests.
+    for _ in 0..100 {
+        controller.admit(&request_at(start), CAPACITY, start);
+        controller.finish(&request_at(start), Duration::from_millis(100), start);
+    }
+    let burst = fill(&mut controller, start);
+    assert!(burst > 100, "{burst} wait");
+    // Once the queue did not empty for half a second, it may only be a third as long.
+    let later = Timestamp::from_millis(600);
+    let mut turns = 0;
+    while turns < burst * 2 / 3 {
+        let ended = controller.finish(&request_at(later), Duration::from_millis(100), later);
+        turns += ended.len();
+    }
+    assert!(fill(&mut controller, later) <= 1, "the queue grows although it stands");
+}
