--- a/crates/figglade/src/filter/picker.rs
+++ b/crates/figglade/src/filter/picker.rs
@@ -1,7 +1,7 @@
 //! Choice of a replica from latency, load, zone and ejection.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
@@ -28,8 +28,8 @@
 const COLD_START_FACTOR: f64 = 4.0;
 /// How many times the latency of the best replica makes a replica slow.
 const SLOW_FACTOR: f64 = 2.0;
-/// The latency below which no replica counts as slow, in milliseconds.
-const SLOW_FLOOR_MS: f64 = 1.0;
+/// The difference to the best replica below which none counts as slow, in milliseconds.
+const SLOW_MARGIN_MS: f64 = 2.0;
 /// How long an ejection counts against the cap after it turned half-open without a probe.
 const HALF_OPEN_COUNTED: Duration = Duration::from_secs(5);
 
@@ -42,6 +42,26 @@
     pub cold_start: Duration,
     /// Ejections in force, counted against the cap.
     pub ejections: Arc<EjectionCounter>,
+    /// The targets that take new work now.
+    pub live: LiveTargets,
+}
+
+/// The targets of an index that take new work now, which a pinned snapshot may outlive.
+#[derive(Debug, Default)]
+pub struct LiveTargets {
+    targets: Mutex<Option<Arc<HashSet<TargetId>>>>,
+}
+
+impl LiveTargets {
+    /// Replaces the targets.
+    pub fn set(&self, targets: HashSet<TargetId>) {
+        *lock(&self.targets) = Some(Arc::new(targets));
+    }
+
+    /// Returns the targets, or `None` before they were set.
+    pub fn get(&self) -> Option<Arc<HashSet<TargetId>>> {
+        lock(&self.targets).clone()
+    }
 }
 
 /// Bounds how many targets may be ejected at a time.
@@ -91,6 +111,8 @@
     pub tried: &'a [TargetId],
     /// The snapshot that the attempt needs; `None` where any will do.
     pub snapshot: Option<(&'a IndexName, SnapshotKey)>,
+    /// The targets that take new work; `None` where the replicas were read just now.
+    pub live: Option<&'a HashSet<TargetId>>,
 }
 
 impl<'a> PickScope<'a> {
@@ -99,10 +121,11 @@
         &self,
         now: Timestamp,
     ) -> impl Iterator<Item = (&'a Arc<TargetRoute>, LoadView)> {
-        let Self { replicas, tried, snapshot } = *self;
+        let Self { replicas, tried, snapshot, live } = *self;
         replicas
             .iter()
             .filter(move |route| !tried.contains(&route.target))
+            .filter(move |route| live.is_none_or(|live| live.contains(&route.target)))
             .filter(move |route| {
                 !snapshot.is_some_and(|(index, key)| route.load.lacks(index, key, now))
             })
@@ -222,5 +245,5 @@
 /// Returns whether a replica is far slower than the best one.
 fn is_slow(view: &LoadView, best: Option<f64>) -> bool {
     let Some((latency, best)) = view.latency_ms.zip(best) else { return false };
-    latency > SLOW_FLOOR_MS && latency > best * SLOW_FACTOR
+    latency > best + SLOW_MARGIN_MS && latency > best * SLOW_FACTOR
 }
