--- a/crates/figglade-cli/src/control/group.rs
+++ b/crates/figglade-cli/src/control/group.rs
@@ -118,12 +118,12 @@
         Ok(last.to_string())
     }
 
-    /// Tells how far the log of the member that changes has come.
+    /// Tells how far the log of a member to be promoted has come.
     fn show_progress(&self, view: &QuorumView, body: &Value) {
-        let Some(id) = body.get("id").and_then(Value::as_str) else { return };
-        if !view.members.keys().any(|member| member.as_str() == id) {
+        if body.get("change").and_then(Value::as_str) != Some("promote") {
             return;
         }
+        let Some(id) = body.get("id").and_then(Value::as_str) else { return };
         let held = view.progress.iter().find(|(member, _)| member.as_str() == id);
         let Some((_, held)) = held else { return };
         let line = format!("{id} holds {held} of {} entries", view.commit);
--- a/crates/figglade-cli/src/output.rs
+++ b/crates/figglade-cli/src/output.rs
@@ -53,7 +53,7 @@
 pub fn render_table(headers: &[&str], rows: Vec<Vec<String>>, width: u16) -> String {
     let mut table = Table::new();
     table
-        .load_style(presets::UTF8_HORIZONTAL_ONLY)
+        .load_style(presets::NOTHING)
         .set_content_arrangement(ContentArrangement::Dynamic)
         .set_width(width)
         .set_header(headers.to_vec());
--- a/crates/figglade-cli/src/status.rs
+++ b/crates/figglade-cli/src/status.rs
@@ -1,6 +1,9 @@
 //! What is wrong and what to do next.
 
-use figglade::controller::quorum::MemberRole;
+use figglade::{
+    InstanceId,
+    controller::{membership::MemberState, quorum::MemberRole},
+};
 use serde::Serialize;
 use serde_json::json;
 
@@ -69,7 +72,7 @@
             find_quorum_problems(status, quorum, members, &mut problems);
         }
     }
-    find_member_problems(members, &mut problems);
+    find_member_problems(status, members, &mut problems);
     find_index_problems(status, &mut problems);
     if status.config.in_force < status.config.instances {
         let what = format!(
@@ -106,10 +109,13 @@
         problems.push(StatusProblem::new(what, next));
     }
     for (id, member) in &quorum.members {
-        let live = members.find(id).is_some_and(|row| row.state.is_live());
-        if !live && member.role == MemberRole::Voter {
+        if is_lost_voter(quorum, members, id) {
             let what = format!("control member {id} does not answer");
-            let next = format!("restart it, or: figglade control replace {id} NEW PEER");
+            // A group without a leader cannot change its members.
+            let next = match quorum.leader.is_some() {
+                true => format!("restart it, or: figglade control replace {id} NEW PEER"),
+                false => "restart it with its disk".to_owned(),
+            };
             problems.push(StatusProblem::new(what, next));
         }
         if member.role == MemberRole::Learner {
@@ -119,17 +125,29 @@
     }
 }
 
-fn find_member_problems(members: &MembersReply, problems: &mut Vec<StatusProblem>) {
-    for member in &members.members {
+/// Returns whether the instance is a voter that does not answer.
+fn is_lost_voter(quorum: &QuorumView, members: &MembersReply, id: &InstanceId) -> bool {
+    let votes = quorum.members.get(id).is_some_and(|member| member.role == MemberRole::Voter);
+    votes && !members.find(id).is_some_and(|row| row.state.is_live())
+}
+
+fn find_member_problems(
+    status: &StatusReply,
+    members: &MembersReply,
+    problems: &mut Vec<StatusProblem>,
+) {
+    let quorum = status.control.as_ref().and_then(|control| control.quorum.as_ref());
+    let named = |id: &InstanceId| {
+        *id == status.instance || quorum.is_some_and(|quorum| is_lost_voter(quorum, members, id))
+    };
+    for member in members.members.iter().filter(|member| !named(&member.id)) {
         let id = &member.id;
         let (what, next) = match member.state {
-            figglade::controller::membership::MemberState::Dead => {
-                (format!("instance {id} failed"), "restart it".to_owned())
-            }
-            figglade::controller::membership::MemberState::Suspect => {
+            MemberState::Dead => (format!("instance {id} failed"), "restart it".to_owned()),
+            MemberState::Suspect => {
                 (format!("instance {id} does not answer"), "figglade members".to_owned())
             }
-            figglade::controller::membership::MemberState::Alive if !member.ready => {
+            MemberState::Alive if !member.ready => {
                 let next = format!("figglade status --addr {}", member.http);
                 (format!("instance {id} is not ready"), next)
             }
