--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -1,6 +1,11 @@
 //! One running instance: it assembles the parts and stops them in order.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
 use derive_more::{Display, Error, From};
 use figglade::{
@@ -38,6 +43,8 @@
 const MAX_APPEND_ENTRIES: usize = 512;
 /// The most payload bytes of one append message.
 const MAX_APPEND_BYTES: usize = 512 << 10;
+/// How often connections to targets are opened ahead of requests.
+const WARM_PERIOD: Duration = Duration::from_millis(500);
 /// How long a stopping instance waits for the news of it to spread.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often that is looked at.
@@ -71,7 +78,8 @@
     transport: PeerTransport,
     state: Arc<ControlState>,
     timeline: TimelineStore,
-    tasks: Vec<JoinHandle<()>>,
+    gossip_task: JoinHandle<()>,
+    renewal_tasks: Vec<JoinHandle<()>>,
     log: Logger,
 }
 
@@ -112,14 +120,25 @@
         let plane = builder.make_plane(group, Arc::clone(&gossip), handle);
         let server = builder.start_api(&plane)?;
         info!(builder.log, "instance: started"; "http" => %server.local_addr(), "peer" => %peer);
-        let tasks = vec![
-            tokio::spawn(Arc::clone(&gossip).run()),
+        let gossip_task = tokio::spawn(Arc::clone(&gossip).run());
+        let renewal_tasks = vec![
             tokio::spawn(Arc::clone(&plane).run_renewals()),
             tokio::spawn(Arc::clone(&plane).run_manifests()),
         ];
         let InstanceBuilder { state, timeline, log, .. } = builder;
         timeline.record(EventKind::InstanceStarted, None, "");
-        Ok(Self { server, plane, gossip, member, transport, state, timeline, tasks, log })
+        Ok(Self {
+            server,
+            plane,
+            gossip,
+            member,
+            transport,
+            state,
+            timeline,
+            gossip_task,
+            renewal_tasks,
+            log,
+        })
     }
 
     /// Returns where the HTTP interface listens.
@@ -142,6 +161,10 @@
         if let Err(error) = self.server.close().await {
             warn!(self.log, "instance: the HTTP interface did not close"; "error" => error);
         }
+        for task in &self.renewal_tasks {
+            task.abort();
+        }
+        self.plane.release_shares().await;
         if let Some(member) = &self.member {
             member.handle().send(crate::control::MemberInput::HandOver);
         }
@@ -150,9 +173,7 @@
         while !self.gossip.has_left() && tokio::time::Instant::now() < give_up {
             tokio::time::sleep(LEAVE_POLL).await;
         }
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.gossip_task.abort();
         if let Some(member) = self.member {
             // The thread syncs what it has begun; joining it blocks only for that long.
             let closed = tokio::task::spawn_blocking(move || member.close()).await;
@@ -345,6 +366,7 @@
             log: self.log.clone(),
         };
         let tier = Arc::new(QueryTier::new(parts, Arc::clone(&self.state) as _));
+        tokio::spawn(keep_warm(Arc::downgrade(&tier)));
         let context = Arc::new(ApiContext {
             tier,
             control: Arc::new(Arc::clone(plane)),
@@ -356,3 +378,13 @@
         Ok(start_server(self.settings.listen.http, limits.max_body_bytes, context, &self.log)?)
     }
 }
+
+/// Keeps connections to targets warm until the request path is dropped.
+async fn keep_warm(tier: Weak<QueryTier>) {
+    let mut ticks = tokio::time::interval(WARM_PERIOD);
+    loop {
+        ticks.tick().await;
+        let Some(tier) = tier.upgrade() else { return };
+        tier.warm_targets();
+    }
+}
