--- a/crates/figglade/examples/embed_fanout.rs
+++ b/crates/figglade/examples/embed_fanout.rs
@@ -15,7 +15,7 @@
         budget::AttemptBudget,
         fanout::{FanoutAction, FanoutPolicy, FanoutRun, FanoutTools},
         latency::LatencyTracker,
-        picker::{EjectionCounter, ReplicaPicker},
+        picker::{EjectionCounter, LiveTargets, ReplicaPicker},
         routing::{SnapshotKey, SnapshotRoute, TargetRoute},
     },
     wire::{SearchHit, SearchReply},
@@ -142,7 +142,12 @@
     let ejections = Arc::new(EjectionCounter::default());
     ejections.set_targets(4);
     FanoutTools {
-        picker: ReplicaPicker { zone: zone_name(), cold_start: Duration::ZERO, ejections },
+        picker: ReplicaPicker {
+            zone: zone_name(),
+            cold_start: Duration::ZERO,
+            ejections,
+            live: LiveTargets::default(),
+        },
         hedges: AttemptBudget::default(),
         retries: AttemptBudget::default(),
         latency: LatencyTracker::default(),
--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -1,6 +1,6 @@
 //! Actions: claim durably, send once, record the outcome.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use figglade::{
