Let the fake claim store record refusals

Cause: the claim store gained refuse_claim while the tests of the request path were written. Change: the fake records a refusal as not run, as the ledger does.

--- a/crates/figgladed/tests/tier_requests.rs
+++ b/crates/figgladed/tests/tier_requests.rs
@@ -185,6 +185,17 @@
         self.0.records.lock().push(record);
         Box::pin(async { Ok(()) })
     }
+
+    fn refuse_claim(
+        &self,
+        _request: RequestId,
+        _digest: BodyDigest,
+        reason: String,
+    ) -> BoxFuture<Result<(), ClaimError>> {
+        let outcome = ActionOutcome::NotRun;
+        self.0.records.lock().push(ActionRecord { outcome, result: None, reason: Some(reason) });
+        Box::pin(async { Ok(()) })
+    }
 }
 
 struct FixedSettings(FleetDefaults);
