Bound the traffic of the directory and time lapses by what targets were told

Cause: measured over 3 to 60 instances with 30 to 3,000 targets, a burst of announcements was sent about eight times by every instance (13 kB/s for minutes), a rolling restart of 120 targets in two minutes took 4,285 B/s, and targets lapsed that had been told a long interval by an instance that knew few members. Counting heard copies as sends was tried and taken back: it lost rumors of lapses. Change: more than 64 queued announcements are left to a few quick anti-entropy sessions; gossip and anti-entropy visit each peer once a round, so fewer copies reach everybody; renewals carry the interval the target was told, nothing is watched before the directory is loaded, and new watchers wait out the longest interval.

--- a/crates/figglade/src/controller/directory/controller.rs
+++ b/crates/figglade/src/controller/directory/controller.rs
@@ -1,13 +1,8 @@
 //! The controller that runs the target directory of one instance.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use rand::{Rng, seq::IndexedRandom};
+use rand::Rng;
 
 use super::{
     check::check_announcement,
@@ -24,7 +19,7 @@
         membership::{
             PeerRef,
             digest::hash_key,
-            rumor::{RumorQueue, RumorUrgency, send_limit},
+            rumor::{GossipRound, RumorQueue, RumorUrgency, send_limit},
             sync::{SyncRecord, SyncSession},
         },
         watch::WatcherRanking,
@@ -44,9 +39,15 @@
 /// The most new records of one message that are spread on.
 const MAX_SPREAD_RECORDS: usize = 32;
 
+/// The most news queued before anti-entropy takes over what is not urgent.
+const MAX_QUEUED_NEWS: usize = 64;
+
 /// The shortest time between two gossip rounds.
 const GOSSIP_SPACING: Duration = Duration::from_millis(20);
 
+/// The longest time between announcements of a target.
+const MAX_ANNOUNCE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// The parts of the retention after which what lapsed or left is looked through again.
 const SWEEPS_PER_RETENTION: u32 = 32;
 
@@ -57,17 +58,20 @@
     pub(super) started_at: Timestamp,
     pub(super) table: DirectoryTable,
     pub(super) news: RumorQueue,
+    pub(super) round: GossipRound<InstanceId>,
+    pub(super) partners: GossipRound<InstanceId>,
     pub(super) lapses: RumorQueue,
     pub(super) watches: WatchTable,
     pub(super) ranking: WatcherRanking,
     pub(super) peer_addresses: BTreeMap<InstanceId, SocketAddr>,
-    pub(super) renewals: BTreeMap<InstanceId, BTreeSet<(u64, crate::Incarnation)>>,
+    pub(super) renewals: BTreeMap<InstanceId, BTreeMap<TargetKey, u32>>,
     pub(super) peers: Vec<PeerRef>,
     pub(super) next_partner: Option<SocketAddr>,
     pub(super) unchecked: usize,
     pub(super) checked_up_to: Option<u64>,
     pub(super) next_check: Timestamp,
     pub(super) session: Option<SyncSession>,
+    pub(super) eager_sessions: u32,
     pub(super) has_compared: bool,
     pub(super) is_synced: bool,
     pub(super) last_gossip: Timestamp,
@@ -85,6 +89,8 @@
             started_at: now,
             table: DirectoryTable::default(),
             news: RumorQueue::default(),
+            round: GossipRound::default(),
+            partners: GossipRound::default(),
             lapses: RumorQueue::default(),
             watches: WatchTable::default(),
             ranking: WatcherRanking::new([settings.id.clone()]),
@@ -96,6 +102,7 @@
             checked_up_to: None,
             next_check: now,
             session: None,
+            eager_sessions: 0,
             has_compared: false,
             is_synced: !settings.expects_peers,
             last_gossip: now,
@@ -116,18 +123,36 @@
     /// Returns the time after which a target should announce again.
     ///
     /// It grows with the targets for each instance, so that an instance receives a bounded number
-    /// of announcements a second.
+    /// of announcements a second. An instance that has not loaded the directory cannot tell and
+    /// asks for the shortest time.
     pub fn announce_interval(&self) -> Duration {
+        let shortest = self.settings.timing.announce_period;
+        if !self.is_synced {
+            return shortest;
+        }
         let members = self.ranking.len().max(1) as u64;
         let targets = self.table.len() as u64;
         let spread = Duration::from_millis(targets * 1_000 / (members * ANNOUNCEMENTS_PER_SECOND));
-        spread.max(self.settings.timing.announce_period)
+        spread.min(MAX_ANNOUNCE_INTERVAL).max(shortest)
     }
 
-    /// Returns the silence after which a target lapses.
+    /// Returns the silence after which a target lapses that announces itself again as
+    /// [`Self::announce_interval`] says now.
     pub fn lapse_timeout(&self) -> Duration {
+        self.lapse_timeout_after(self.announce_interval())
+    }
+
+    /// Returns the silence after which a target lapses that was told to announce itself again
+    /// after `interval`.
+    pub(super) fn lapse_timeout_after(&self, interval: Duration) -> Duration {
         let timing = self.settings.timing;
-        self.announce_interval() * timing.lapse_periods + timing.renewal_period
+        interval * timing.lapse_periods + timing.renewal_period
+    }
+
+    /// Returns the silence after which a target lapses that was told an interval by an instance
+    /// which may have known another fleet.
+    pub(super) fn fresh_timeout(&self) -> Duration {
+        MAX_ANNOUNCE_INTERVAL.max(self.settings.timing.announce_period) + self.lapse_timeout()
     }
 
     /// Takes the announcement of a target; [`Self::handle_tick`] should follow at once.
@@ -172,8 +197,10 @@
         let lapses = entry.record.lapses;
         let was_lapsed = lapses.is_lapsed();
         if has_same_content(held, &announcement) {
-            self.handle_renewal(key, announcement.incarnation, now);
-            self.forward_renewal(key, announcement.incarnation);
+            let interval = self.announce_interval();
+            let renewed = TargetKey(key, announcement.incarnation);
+            self.handle_renewal(renewed, interval, now);
+            self.forward_renewal(renewed, interval);
             let effect = if was_lapsed { AnnounceEffect::Revived } else { AnnounceEffect::Renewed };
             return Ok(effect);
         }
@@ -265,7 +292,7 @@
         self.lapse_due(now, &mut actions);
         self.send_renewals(now, &mut actions);
         self.check_session(now, peers, rng, &mut actions);
-        self.gossip(now, peers, rng, &mut actions);
+        self.gossip(now, rng, &mut actions);
         if now >= self.next_sweep {
             let retention = self.settings.timing.retention;
             self.next_sweep = now + retention / SWEEPS_PER_RETENTION;
@@ -295,8 +322,9 @@
                 }
             }
             DirectoryMessage::Renewals { targets } => {
-                for TargetKey(key, incarnation) in targets {
-                    self.handle_renewal(key, incarnation, now);
+                for (renewed, interval_ms) in targets {
+                    let interval = Duration::from_millis(u64::from(interval_ms));
+                    self.handle_renewal(renewed, interval.min(MAX_ANNOUNCE_INTERVAL), now);
                 }
             }
             DirectoryMessage::LapseQuery { targets } => {
@@ -311,26 +339,37 @@
 
     /// Merges records of other instances and spreads what is new.
     ///
-    /// Many new records at once mean a table that is being loaded; spreading those would tell the
-    /// fleet what it knows.
+    /// Many new records at once mean that tables are being loaded; anti-entropy spreads those at
+    /// less cost than rumors.
     pub(super) fn merge_records(&mut self, records: &[DirectoryRecord], now: Timestamp) {
         let valid =
             records.iter().filter(|record| check_announcement(&record.announcement).is_ok());
-        let new: Vec<&DirectoryRecord> = valid.filter(|record| self.table.merge(record)).collect();
-        let spreads = new.len() <= MAX_SPREAD_RECORDS;
-        for record in new {
-            self.watch_if_chosen(record.key(), now);
-            if spreads {
-                self.spread_record(record.key(), now);
+        let merged = valid.filter(|record| self.table.merge(record));
+        let new: Vec<u64> = merged.map(SyncRecord::key).collect();
+        let timeout = self.lapse_timeout();
+        let is_page = new.len() > MAX_SPREAD_RECORDS;
+        for key in new {
+            self.watch_if_chosen(key, timeout, now);
+            if !is_page || self.is_leaving(key) {
+                self.spread_record(key, now);
             }
         }
+        if is_page {
+            self.sync_eagerly(now);
+        }
+    }
+
+    /// Returns whether the target with `key` drains or has left.
+    fn is_leaving(&self, key: u64) -> bool {
+        let state = self.table.entry(key).map(|entry| entry.announcement().state);
+        state.is_some_and(|state| state >= TargetState::Draining)
     }
 
     /// Merges the lapse or return of a target and spreads it when it is new.
     fn merge_lapse(&mut self, rumor: &LapseRumor, now: Timestamp) {
         if self.table.merge_lapse(rumor) {
             self.spread_lapse(rumor.key, now);
-            self.watch_if_chosen(rumor.key, now);
+            self.watch_if_chosen(rumor.key, self.lapse_timeout(), now);
         }
     }
 
@@ -350,15 +389,20 @@
         let announcement = Arc::new(announcement);
         self.table.put(key, DirectoryRecord { announcement, stamp, lapses, quiet_ms: 0 });
         self.spread_record(key, now);
-        self.watch_if_chosen(key, now);
+        self.watch_if_chosen(key, self.lapse_timeout(), now);
     }
 
     /// Queues the record with `key` as news; a drain or a departure goes first.
+    ///
+    /// Where much is queued, anti-entropy takes over what is not urgent.
     fn spread_record(&mut self, key: u64, now: Timestamp) {
-        let Some(entry) = self.table.entry(key) else { return };
-        let leaves = entry.announcement().state >= TargetState::Draining;
-        let urgency = if leaves { RumorUrgency::Urgent } else { RumorUrgency::Normal };
+        let leaving = self.is_leaving(key);
+        let urgency = if leaving { RumorUrgency::Urgent } else { RumorUrgency::Normal };
         self.news.push(key, urgency);
+        if self.news.len() > MAX_QUEUED_NEWS {
+            self.news.drop_normal();
+            self.sync_eagerly(now);
+        }
         self.schedule_gossip(now);
     }
 
@@ -375,13 +419,7 @@
     }
 
     /// Sends news to a few random instances.
-    fn gossip(
-        &mut self,
-        now: Timestamp,
-        peers: &[PeerRef],
-        rng: &mut impl Rng,
-        actions: &mut Vec<DirectoryAction>,
-    ) {
+    fn gossip(&mut self, now: Timestamp, rng: &mut impl Rng, actions: &mut Vec<DirectoryAction>) {
         let idle = self.news.is_empty() && self.lapses.is_empty();
         if idle || now < self.next_gossip {
             return;
@@ -389,15 +427,19 @@
         let timing = self.settings.timing;
         self.last_gossip = now;
         self.next_gossip = now + timing.gossip_period;
-        if peers.is_empty() {
+        if self.peers.is_empty() {
             self.news = RumorQueue::default();
             self.lapses = RumorQueue::default();
         }
-        let limit = send_limit(peers.len() + 1);
-        for peer in peers.sample(rng, timing.gossip_fanout) {
-            let message = self.take_news(limit);
-            if let Some(message) = message {
-                actions.push(DirectoryAction::Send { to: peer.peer, message });
+        let limit = send_limit(self.ranking.len());
+        let addresses = &self.peer_addresses;
+        let all = || addresses.keys().cloned().collect();
+        let is_present = |id: &InstanceId| addresses.contains_key(id);
+        let picked = self.round.take(timing.gossip_fanout, rng, all, is_present);
+        for id in picked {
+            let Some(to) = self.peer_addresses.get(&id).copied() else { continue };
+            if let Some(message) = self.take_news(limit) {
+                actions.push(DirectoryAction::Send { to, message });
             }
         }
     }
--- a/crates/figglade/src/controller/directory/reconcile.rs
+++ b/crates/figglade/src/controller/directory/reconcile.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use rand::{Rng, RngExt, seq::IndexedRandom};
+use rand::{Rng, RngExt};
 
 use super::{
     controller::TargetDirectory,
@@ -10,7 +10,7 @@
     watches::{MAX_UNANSWERED, QUERY_TIMEOUT, TargetWatch, WatchPhase},
 };
 use crate::{
-    Incarnation, InstanceId, Timestamp,
+    InstanceId, Timestamp,
     controller::{
         membership::{
             PeerRef,
@@ -25,8 +25,11 @@
 /// The ranks computed in one tick while new watchers are found after a change of members.
 const RANKS_PER_TICK: usize = 100_000;
 
-/// The time between two attempts to load the directory.
-const COLD_SYNC_PERIOD: Duration = Duration::from_millis(500);
+/// The time between sessions while much is new.
+const EAGER_SYNC_PERIOD: Duration = Duration::from_millis(200);
+
+/// The sessions beyond the rounds that reach the whole fleet when nothing is lost.
+const EXTRA_SYNC_ROUNDS: u32 = 2;
 
 impl TargetDirectory {
     /// Takes over the live instances; when they changed, the watches are gone through again and
@@ -62,15 +65,18 @@
         self.unchecked -= count;
         // The walk goes round, so frequent changes of members do not starve the last targets.
         self.checked_up_to = if keys.len() < count { None } else { keys.last().copied() };
+        let timeout = self.fresh_timeout();
         for key in keys {
-            self.watch_if_chosen(key, now);
+            self.watch_if_chosen(key, timeout, now);
         }
     }
 
-    /// Starts to watch a target that this instance is chosen for, with a full period to renew, and
-    /// ends the watch of one that it is not chosen for or that needs none.
-    pub(super) fn watch_if_chosen(&mut self, key: u64, now: Timestamp) {
-        let Some(entry) = self.table.entry(key) else { return };
+    /// Starts to watch a target that this instance is chosen for, with `timeout` to renew, and ends
+    /// the watch of one that it is not chosen for or that needs none.
+    ///
+    /// Nothing is watched until the directory is loaded.
+    pub(super) fn watch_if_chosen(&mut self, key: u64, timeout: Duration, now: Timestamp) {
+        let Some(entry) = self.table.entry(key).filter(|_| self.is_synced) else { return };
         let incarnation = entry.announcement().incarnation;
         if entry.record.is_quiet() || !self.is_watcher(key) {
             self.watches.remove(key);
@@ -78,7 +84,7 @@
         }
         let watched = self.watches.watch(key);
         if watched.is_none_or(|watch| watch.incarnation != incarnation) {
-            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+            self.watches.restart(key, incarnation, now + timeout);
         }
     }
 
@@ -94,8 +100,15 @@
         watchers.filter(|id| *id != own).cloned().collect()
     }
 
-    /// Takes note that a target renewed its announcement; one that had lapsed is back.
-    pub(super) fn handle_renewal(&mut self, key: u64, incarnation: Incarnation, now: Timestamp) {
+    /// Takes note that a target renewed its announcement, and was told to do so again after
+    /// `interval`; one that had lapsed is back.
+    pub(super) fn handle_renewal(
+        &mut self,
+        renewed: TargetKey,
+        interval: Duration,
+        now: Timestamp,
+    ) {
+        let TargetKey(key, incarnation) = renewed;
         let Some(entry) = self.table.entry(key) else { return };
         if entry.announcement().incarnation != incarnation {
             return;
@@ -103,8 +116,9 @@
         if entry.record.lapses.is_lapsed() {
             self.turn_lapse(key, now);
         }
-        if self.is_watcher(key) {
-            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+        if self.is_synced && self.is_watcher(key) {
+            let deadline = now + self.lapse_timeout_after(interval);
+            self.watches.restart(key, incarnation, deadline);
         }
     }
 
@@ -118,9 +132,10 @@
     }
 
     /// Queues a renewal for the watchers of the target.
-    pub(super) fn forward_renewal(&mut self, key: u64, incarnation: Incarnation) {
-        for watcher in self.other_watchers(key) {
-            self.renewals.entry(watcher).or_default().insert((key, incarnation));
+    pub(super) fn forward_renewal(&mut self, renewed: TargetKey, interval: Duration) {
+        let interval_ms = interval.as_millis() as u32;
+        for watcher in self.other_watchers(renewed.0) {
+            self.renewals.entry(watcher).or_default().insert(renewed, interval_ms);
         }
     }
 
@@ -132,7 +147,7 @@
         self.next_renewals = now + self.settings.timing.renewal_period;
         for (watcher, targets) in std::mem::take(&mut self.renewals) {
             let Some(to) = self.peer_addresses.get(&watcher) else { continue };
-            let targets = targets.into_iter().map(|(key, start)| TargetKey(key, start)).collect();
+            let targets = targets.into_iter().collect();
             let message = DirectoryMessage::Renewals { targets };
             actions.push(DirectoryAction::Send { to: *to, message });
         }
@@ -146,7 +161,7 @@
         let mut queries = BTreeMap::<InstanceId, Vec<TargetKey>>::new();
         for (key, watch) in self.watches.take_due(now) {
             if !self.is_current(key, &watch) || !self.is_watcher(key) {
-                self.watch_if_chosen(key, now);
+                self.watch_if_chosen(key, self.lapse_timeout(), now);
                 continue;
             }
             let others = self.other_watchers(key);
@@ -211,7 +226,7 @@
     /// Gives targets that the other watcher heard of the time they have there, and lapses the
     /// others.
     pub(super) fn settle_watches(&mut self, targets: &[(TargetKey, u64)], now: Timestamp) {
-        let longest = self.lapse_timeout();
+        let longest = self.fresh_timeout();
         for (TargetKey(key, incarnation), left_ms) in targets {
             let Some(watch) = self.watches.watch(*key) else { continue };
             let asked = matches!(watch.phase, WatchPhase::Asked { .. });
@@ -242,15 +257,15 @@
             self.next_sync = now;
         }
         let cold_for = now.since(self.started_at);
-        if cold_for >= self.settings.timing.cold_start_period {
-            self.is_synced |= peers.is_empty() || self.has_compared;
+        let was_patient = cold_for >= self.settings.timing.cold_start_period;
+        if was_patient && (peers.is_empty() || self.has_compared) {
+            self.set_synced(now);
         }
         if self.session.is_some() || now < self.next_sync {
             return;
         }
-        let partner = self.next_partner.take().or_else(|| Some(peers.choose(rng)?.peer));
-        let Some(to) = partner else {
-            self.next_sync = now + COLD_SYNC_PERIOD;
+        let Some(to) = self.next_partner.take().or_else(|| self.pick_partner(rng)) else {
+            self.next_sync = now + EAGER_SYNC_PERIOD;
             return;
         };
         let (session, start) = SyncSession::start(&self.table, rng.random(), to, now);
@@ -258,6 +273,31 @@
         actions.push(DirectoryAction::Send { to, message: DirectoryMessage::Sync(start) });
     }
 
+    /// Opens a few sessions in quick succession to spread many records; every instance that learns
+    /// of them does the same, so their number doubles from round to round.
+    pub(super) fn sync_eagerly(&mut self, now: Timestamp) {
+        let rounds = self.ranking.len().max(1).ilog2() + EXTRA_SYNC_ROUNDS;
+        self.eager_sessions = rounds;
+        self.next_sync = self.next_sync.min(now + EAGER_SYNC_PERIOD);
+    }
+
+    /// Picks the next instance to compare with; each is picked once in a round.
+    fn pick_partner(&mut self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let addresses = &self.peer_addresses;
+        let all = || addresses.keys().cloned().collect();
+        let picked = self.partners.take(1, rng, all, |id| addresses.contains_key(id));
+        addresses.get(picked.first()?).copied()
+    }
+
+    /// Takes the directory as loaded, and begins to watch.
+    fn set_synced(&mut self, now: Timestamp) {
+        if !self.is_synced {
+            self.is_synced = true;
+            self.unchecked = self.table.len();
+            self.next_check = self.next_check.min(now);
+        }
+    }
+
     /// Takes a message of anti-entropy.
     pub(super) fn handle_sync(
         &mut self,
@@ -314,10 +354,13 @@
             }
             SyncStep::Finished { settled } => {
                 self.has_compared = true;
-                self.is_synced |= settled;
+                if settled {
+                    self.set_synced(now);
+                }
                 let period = self.settings.timing.sync_period.mul_f64(rng.random_range(0.75..1.25));
-                let period = if self.is_synced { period } else { COLD_SYNC_PERIOD };
-                self.next_sync = now + period;
+                let soon = !self.is_synced || self.eager_sessions > 0;
+                self.eager_sessions = self.eager_sessions.saturating_sub(1);
+                self.next_sync = now + if soon { EAGER_SYNC_PERIOD } else { period };
                 None
             }
         }
--- a/crates/figglade/src/controller/directory/types.rs
+++ b/crates/figglade/src/controller/directory/types.rs
@@ -256,7 +256,7 @@
 }
 
 /// Names one incarnation of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TargetKey(
     /// The hash of the target's identifier.
     pub u64,
@@ -280,9 +280,10 @@
     /// Tells a watcher which targets renewed their announcements.
     #[serde(rename = "W")]
     Renewals {
-        /// The targets.
+        /// The targets, each with the time after which it announces itself again, in
+        /// milliseconds.
         #[serde(rename = "t")]
-        targets: Vec<TargetKey>,
+        targets: Vec<(TargetKey, u32)>,
     },
     /// Asks the other watcher whether it heard of targets that seem to lapse.
     #[serde(rename = "Q")]
--- a/crates/figglade/src/controller/membership/controller.rs
+++ b/crates/figglade/src/controller/membership/controller.rs
@@ -6,7 +6,7 @@
 
 use super::{
     probe::{ProbeState, RelayedProbe},
-    rumor::{RumorQueue, RumorUrgency, send_limit},
+    rumor::{GossipRound, RumorQueue, RumorUrgency, send_limit},
     sync::{SyncRecord, SyncSession},
     table::MemberTable,
     types::{
@@ -38,6 +38,7 @@
     pub(super) started_at: Timestamp,
     pub(super) table: MemberTable,
     pub(super) rumors: RumorQueue,
+    pub(super) round: GossipRound<u64>,
     pub(super) probe: ProbeState,
     pub(super) suspects: BTreeMap<u64, Timestamp>,
     pub(super) session: Option<SyncSession>,
@@ -74,6 +75,7 @@
             started_at: now,
             table,
             rumors: RumorQueue::default(),
+            round: GossipRound::default(),
             probe: ProbeState::default(),
             suspects: Default::default(),
             session: None,
@@ -365,12 +367,16 @@
         let timing = self.settings.timing;
         self.last_gossip = now;
         self.next_gossip = now + timing.gossip_period;
-        let picked = self.pick_peers(timing.gossip_fanout, None, rng);
+        let (table, own) = (&self.table, self.own_key);
+        let live = || table.live_keys().iter().copied().filter(|key| *key != own).collect();
+        let is_live = |key: &u64| table.live_keys().binary_search(key).is_ok();
+        let picked = self.round.take(timing.gossip_fanout, rng, live, is_live);
         if picked.is_empty() {
             self.rumors = RumorQueue::default();
         }
-        for (key, address) in picked {
-            if !self.rumors.is_empty() {
+        for key in picked {
+            let address = self.table.entry(key).map(|entry| entry.record.peer);
+            if let Some(address) = address.filter(|_| !self.rumors.is_empty()) {
                 self.send(address, Some(key), MembershipBody::Gossip, actions);
             }
         }
--- a/crates/figglade/src/controller/membership/rumor.rs
+++ b/crates/figglade/src/controller/membership/rumor.rs
@@ -2,16 +2,63 @@
 
 use std::collections::BTreeMap;
 
+use rand::{Rng, seq::SliceRandom};
+
 /// The most rumors held; anti-entropy carries what is dropped.
 const MAX_RUMORS: usize = 4_096;
 
-/// The sends of a rumor for each digit of the number of members.
-const SENDS_PER_DIGIT: u32 = 4;
+/// The expected number of instances in the whole fleet that a rumor may miss.
+const MISSED_INSTANCES: f64 = 0.007;
 
 /// Returns how often one instance sends a rumor in a fleet of `members` instances.
+///
+/// Where each instance sends `c` copies to different peers, one of `p` peers is missed by all with
+/// a probability of about `(1 - c / p)^p`; the result is the least `c` that keeps the expected
+/// number of missed instances within bounds. It grows with the logarithm of the fleet.
 pub fn send_limit(members: usize) -> u32 {
-    let digits = (members + 1).max(2).ilog10() + 1;
-    SENDS_PER_DIGIT * digits
+    let peers = members.saturating_sub(1).max(1) as f64;
+    let miss_probability = MISSED_INSTANCES / members.max(1) as f64;
+    let copies = peers * (1.0 - miss_probability.powf(1.0 / peers));
+    (copies.ceil() as u32).max(1)
+}
+
+/// The order in which an instance gossips with its peers: each once in a round, in random order.
+#[derive(Clone, Debug)]
+pub struct GossipRound<T> {
+    pending: Vec<T>,
+}
+
+impl<T> Default for GossipRound<T> {
+    fn default() -> Self {
+        Self { pending: Vec::new() }
+    }
+}
+
+impl<T: Clone + PartialEq> GossipRound<T> {
+    /// Takes the next `count` peers that are still present; `all` returns every peer.
+    pub fn take(
+        &mut self,
+        count: usize,
+        rng: &mut impl Rng,
+        all: impl Fn() -> Vec<T>,
+        is_present: impl Fn(&T) -> bool,
+    ) -> Vec<T> {
+        let mut taken = Vec::with_capacity(count);
+        let mut refilled = false;
+        while taken.len() < count {
+            match self.pending.pop() {
+                Some(peer) if !taken.contains(&peer) && is_present(&peer) => taken.push(peer),
+                Some(_) => {}
+                None if refilled => break,
+                None => {
+                    self.pending = all();
+                    self.pending.shuffle(rng);
+                    refilled = true;
+                }
+            }
+        }
+        taken
+    }
 }
 
 /// Orders rumors; urgent ones leave first.
@@ -84,6 +131,11 @@
         taken
     }
 
+    /// Drops every rumor that is not urgent.
+    pub fn drop_normal(&mut self) {
+        self.rumors.retain(|_, rumor| rumor.urgency == RumorUrgency::Urgent);
+    }
+
     /// Counts one send of a rumor and drops it at the limit.
     fn count_send(&mut self, key: u64, limit: u32) {
         if let Some(rumor) = self.rumors.get_mut(&key) {
--- a/crates/figglade/tests/directory_spread.rs
+++ b/crates/figglade/tests/directory_spread.rs
@@ -51,7 +51,7 @@
     let listening: Vec<_> = fleet.nodes.keys().copied().collect();
     let chosen = listening[fleet.draw() as usize % listening.len()];
     let (now, wall) = (fleet.now, fleet.wall());
-    let directory = &mut fleet.nodes.get_mut(&chosen).unwrap().directory;
+    let directory = &mut fleet.node_at(chosen).directory;
     // A refusal is an answer like any other to a target.
     let _ = directory.apply_announcement(announcement(number, incarnation, state), now, wall);
 }
--- a/crates/figglade/tests/membership_support/mod.rs
+++ b/crates/figglade/tests/membership_support/mod.rs
@@ -64,6 +64,8 @@
     pub member_events: Vec<(Timestamp, InstanceId, MemberState)>,
     pub sent: SentCount,
     pub sent_by_kind: BTreeMap<u16, SentCount>,
+    /// The processor time of decisions and of the codec; printed, never checked.
+    pub busy: Duration,
 }
 
 struct Packet {
@@ -83,6 +85,9 @@
     pub directory_timing: DirectoryTiming,
     queue: BTreeMap<(Timestamp, u64), Packet>,
     sequence: u64,
+    touched: BTreeSet<SocketAddr>,
+    deadlines: BTreeMap<SocketAddr, Timestamp>,
+    schedule: BTreeSet<(Timestamp, SocketAddr)>,
 }
 
 pub fn address(number: u16) -> SocketAddr {
@@ -105,6 +110,9 @@
             directory_timing: DirectoryTiming::default(),
             queue: BTreeMap::new(),
             sequence: 0,
+            touched: BTreeSet::new(),
+            deadlines: BTreeMap::new(),
+            schedule: BTreeSet::new(),
         }
     }
 
@@ -151,13 +159,16 @@
             member_events: Vec::new(),
             sent: SentCount::default(),
             sent_by_kind: BTreeMap::new(),
+            busy: Duration::ZERO,
         };
         self.nodes.insert(listen, node);
+        self.touched.insert(listen);
     }
 
     /// Stops the instance at `listen` without a word.
     pub fn crash(&mut self, listen: SocketAddr) {
         self.nodes.remove(&listen);
+        self.touched.insert(listen);
     }
 
     /// Cuts every link between two groups of instances.
@@ -175,7 +186,28 @@
     }
 
     pub fn node_mut(&mut self, number: u16) -> &mut Node {
-        self.nodes.get_mut(&address(number)).unwrap()
+        self.node_at(address(number))
+    }
+
+    pub fn node_at(&mut self, listen: SocketAddr) -> &mut Node {
+        self.touched.insert(listen);
+        self.nodes.get_mut(&listen).unwrap()
+    }
+
+    /// Returns the instance that ticks next and when.
+    fn next_tick(&mut self) -> Option<(Timestamp, SocketAddr)> {
+        for listen in std::mem::take(&mut self.touched) {
+            if let Some(old) = self.deadlines.remove(&listen) {
+                self.schedule.remove(&(old, listen));
+            }
+            if let Some(node) = self.nodes.get(&listen) {
+                let directory = node.directory.next_deadline();
+                let deadline = node.membership.next_deadline().min(directory);
+                self.deadlines.insert(listen, deadline);
+                self.schedule.insert((deadline, listen));
+            }
+        }
+        self.schedule.first().copied()
     }
 
     /// Lets a target announce itself to instance `number`.
@@ -215,32 +247,36 @@
 
     /// Handles the next frame or tick before `end`; returns whether there was one.
     fn step(&mut self, end: Timestamp) -> bool {
-        let tick = self
-            .nodes
-            .iter()
-            .map(|(listen, node)| {
-                let membership = node.membership.next_deadline();
-                (membership.min(node.directory.next_deadline()), *listen)
-            })
-            .min();
+        let tick = self.next_tick();
         let arrival = self.queue.first_key_value().map(|((at, _), _)| *at);
         match (tick, arrival) {
             (_, Some(at)) if at <= end && tick.is_none_or(|(tick, _)| at <= tick) => {
                 let (_, packet) = self.queue.pop_first().unwrap();
                 self.now = self.now.max(at);
+                let (to, started) = (packet.to, std::time::Instant::now());
                 self.deliver(packet);
+                self.count_busy(to, started.elapsed());
                 true
             }
             (Some((at, listen)), _) if at <= end => {
                 self.now = self.now.max(at);
+                let started = std::time::Instant::now();
                 self.tick(listen);
+                self.count_busy(listen, started.elapsed());
                 true
             }
             _ => false,
         }
     }
 
+    fn count_busy(&mut self, listen: SocketAddr, time: Duration) {
+        if let Some(node) = self.nodes.get_mut(&listen) {
+            node.busy += time;
+        }
+    }
+
     fn tick(&mut self, listen: SocketAddr) {
+        self.touched.insert(listen);
         let Some(node) = self.nodes.get_mut(&listen) else { return };
         let member_actions = node.membership.handle_tick(self.now, &mut self.rng);
         let peers = node.membership.peers();
@@ -249,6 +285,7 @@
     }
 
     fn deliver(&mut self, packet: Packet) {
+        self.touched.insert(packet.to);
         let Some(node) = self.nodes.get_mut(&packet.to) else { return };
         let (from, now, rng) = (packet.from, self.now, &mut self.rng);
         match packet.frame.kind {
@@ -342,6 +379,7 @@
         for node in self.nodes.values_mut() {
             node.sent = SentCount::default();
             node.sent_by_kind.clear();
+            node.busy = Duration::ZERO;
         }
     }
 
