--- a/crates/figglade/src/controller/membership/controller.rs
+++ b/crates/figglade/src/controller/membership/controller.rs
@@ -113,7 +113,8 @@
         self.own.state == MemberState::Left && self.rumors.is_empty()
     }
 
-    /// Returns whether a full exchange with some member ended, or no other instance is named.
+    /// Returns whether a full exchange with some member ended, no other instance is named, or none
+    /// answered for a while.
     pub fn has_joined(&self) -> bool {
         self.has_synced || self.seeds.is_empty()
     }
--- a/crates/figglade/src/controller/membership/rejoin.rs
+++ b/crates/figglade/src/controller/membership/rejoin.rs
@@ -1,6 +1,6 @@
 //! Joining the fleet, finding lost members again, and anti-entropy.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
@@ -15,6 +15,9 @@
 /// The seeds and dead members asked at a time when joining.
 const JOIN_PINGS: usize = 3;
 
+/// The time without an answer after which an instance counts as the first of its fleet.
+const JOIN_PATIENCE: Duration = Duration::from_secs(5);
+
 /// The most new members of one message that are spread on.
 const MAX_SPREAD_RECORDS: usize = 32;
 
@@ -149,6 +152,8 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         let timing = self.settings.timing;
+        let waited = now.since(self.started_at) >= JOIN_PATIENCE;
+        self.has_synced |= waited && self.len_alive() == 1;
         let joining = !self.has_joined() || self.len_alive() == 1;
         let period = if joining { timing.probe_period } else { timing.rejoin_period };
         self.next_rejoin = now + period;
--- a/crates/figglade/tests/membership_convergence.rs
+++ b/crates/figglade/tests/membership_convergence.rs
@@ -27,6 +27,18 @@
     assert!(took <= Duration::from_secs(2), "took {took:?}");
 }
 
+#[test]
+fn the_first_instance_of_a_fleet_does_not_wait_for_others_for_ever() {
+    let mut fleet = Fleet::with_nodes(9, NetworkFaults::NONE, 1);
+    assert!(!fleet.node(0).membership.has_joined());
+    let started = |fleet: &Fleet| {
+        fleet.node(0).membership.has_joined() && fleet.node(0).directory.is_synced()
+    };
+    fleet.run_until(MINUTE, started).expect("it starts alone");
+    fleet.start(1, address(1));
+    fleet.run_until(MINUTE, Fleet::has_converged).expect("a later one joins it");
+}
+
 #[test]
 fn a_fleet_joins_over_a_rough_network() {
     for seed in 0..8 {
