Wait for the newer version after a conflict of an exception

Cause: four exceptions raced over two instances, and one gave up after five conflicts within 40 ms. The instance it asked had not yet heard of the version that caused the first conflict, so that each further try started from the same old version. Ruled out: a wrong answer of the ledger; every refusal named the version that was committed. Change: after a conflict the command reads until the instance has that version, at most 10 s, so that each commit of another operator costs one try at most.

Conclusion: racing exceptions about different scopes are all taken.

--- a/crates/figglade-cli/src/config/error.rs
+++ b/crates/figglade-cli/src/config/error.rs
@@ -87,6 +87,14 @@
         /// The scope.
         scope: FleetScope,
     },
+    /// The instance asked lags behind the version that caused a conflict.
+    #[display("version {version} was committed meanwhile, and the instance asked still has {seen}")]
+    NotSpread {
+        /// The version committed.
+        version: ConfigVersion,
+        /// The version at the instance.
+        seen: ConfigVersion,
+    },
     /// Other operators were always faster.
     #[display("gave up after {tries} conflicts with other changes")]
     TooManyConflicts {
--- a/crates/figglade-cli/src/config/except.rs
+++ b/crates/figglade-cli/src/config/except.rs
@@ -1,6 +1,11 @@
 //! Adds one exception to the configuration in force.
 
-use figglade::controller::fleet::{FleetException, FleetScope, parse_draft};
+use std::time::{Duration, Instant};
+
+use figglade::{
+    ConfigVersion,
+    controller::fleet::{FleetException, FleetScope, parse_draft},
+};
 use serde_json::{Map, Value, json};
 
 use super::{
@@ -12,8 +17,13 @@
     args::{ConnectOptions, ExceptOptions, SettingArg},
     client::OperatorClient,
     error::CliError,
+    reply::ConfigReply,
 };
 
+/// How long the instance asked may lag behind the version that caused a conflict.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The pause between two looks at its version.
+const SPREAD_POLL: Duration = Duration::from_millis(50);
 /// How often an exception is tried on a newer configuration.
 const MAX_TRIES: u32 = 5;
 
@@ -40,12 +50,12 @@
             exceptions: merge_exception(config.exceptions, &exception),
             defaults: config.defaults,
         };
-        match send_change(&client, &put).await {
+        let current = match send_change(&client, &put).await {
             Ok(reply) => return show_commit(&reply, connect.json),
-            Err(CliError::Config(ConfigError::Conflict { .. })) => {}
+            Err(CliError::Config(ConfigError::Conflict { current, .. })) => current,
             Err(error) => return Err(error),
-        }
-        config = read_config(&client).await?;
+        };
+        config = read_newer(&client, current).await?;
         if let Err(key) = still_applies(&seen, &config.exceptions, &exception) {
             return Err(ConfigError::Overtaken { key, scope: exception.scope }.into());
         }
@@ -53,6 +63,25 @@
     Err(ConfigError::TooManyConflicts { tries: MAX_TRIES }.into())
 }
 
+/// Reads the configuration once the instance asked has `version`, the one that caused a conflict.
+/// An older one would only conflict again.
+async fn read_newer(
+    client: &OperatorClient,
+    version: ConfigVersion,
+) -> Result<ConfigReply, CliError> {
+    let started = Instant::now();
+    loop {
+        let config = read_config(client).await?;
+        if config.version >= version {
+            return Ok(config);
+        }
+        if started.elapsed() >= SPREAD_TIMEOUT {
+            return Err(ConfigError::NotSpread { version, seen: config.version }.into());
+        }
+        tokio::time::sleep(SPREAD_POLL).await;
+    }
+}
+
 /// Returns `exceptions` with the keys of `new` taken from older ones of its scope and `new` added.
 pub fn merge_exception(
     exceptions: Vec<FleetException>,
--- a/crates/figglade-cli/src/request.rs
+++ b/crates/figglade-cli/src/request.rs
@@ -112,6 +112,9 @@
         if answer.complete { "complete" } else { "PARTIAL" },
         answer.elapsed_ms,
     );
+    if answer.stale {
+        println!("stale: the instance cannot prove that its configuration is the latest");
+    }
     for missing in &coverage.missing {
         println!("missing: shard {} ({})", missing.shard, missing.reason);
     }
--- a/crates/figglade-cli/tests/commands.rs
+++ b/crates/figglade-cli/tests/commands.rs
@@ -111,6 +111,28 @@
     tier.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_exceptions_are_all_taken() {
+    let tier = EmbeddedTier::start(2, 1).await;
+    tier.wait_members().await;
+    // Each racer loses to the others at most, which is fewer times than it tries.
+    let scopes = ["index:a", "index:b", "instance:i0", "target:c"];
+    let racers = scopes.iter().enumerate().map(|(number, scope)| {
+        let args = ["config", "except", "--scope", scope, "--set", "max_attempts=2"];
+        let args = [&args[..], &["--reason", "race"]].concat();
+        let tier = &tier;
+        async move { tier.run_at(number % 2, &args).await.expect_code(0) }
+    });
+    futures::future::join_all(racers).await;
+    let shown = tier.run(&["config", "show", "--json"]).await.expect_code(0).json();
+    assert_eq!(shown["version"], 4);
+    let exceptions = shown["exceptions"].as_array().expect("exceptions");
+    let mut taken: Vec<_> = exceptions.iter().filter_map(|entry| entry["scope"].as_str()).collect();
+    taken.sort();
+    assert_eq!(taken, scopes);
+    tier.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn control_member_is_replaced_and_refusals_are_told() {
     let tier = EmbeddedTier::start(2, 1).await;
--- a/crates/figglade-cli/tests/offline.rs
+++ b/crates/figglade-cli/tests/offline.rs
@@ -15,6 +15,7 @@
     args::SpanArg,
     config::{merge_exception, still_applies},
     output::{Tone, paint, render_table},
+    status::find_problems,
     timeline::{GatheredEvents, format_time, render_page},
 };
 use serde_json::json;
@@ -179,6 +180,53 @@
     assert!(page.contains("not reached: i3") && page.contains("not complete: i2"));
 }
 
+fn status_problems(leader: serde_json::Value) -> Vec<String> {
+    let voter = |port: u16| json!({ "peer": format!("127.0.0.1:{port}"), "role": "voter" });
+    let quorum = json!({
+        "role": "follower", "term": 3, "leader": leader, "commit": 9,
+        "members": { "i1": voter(1), "i2": voter(2) },
+    });
+    let status = json!({
+        "instance": "i1", "ready": false, "unready_reason": "it starts",
+        "config": { "version": 4, "in_force": 1, "instances": 2 },
+        "indexes": [{ "index": "a", "covered": false, "uncovered_shards": [3, 5] }],
+        "targets": { "ready": 2 },
+        "control": { "quorum": quorum, "claims": 0, "failure": null },
+    });
+    let member = |id: &str, state: &str| {
+        json!({
+            "id": id, "state": state, "peer": "127.0.0.1:1", "http": "127.0.0.1:2",
+            "availability_zone": "z", "config_version": 4, "ready": false,
+        })
+    };
+    let members = json!({
+        "members": [member("i1", "alive"), member("i2", "dead"), member("i3", "alive")],
+    });
+    let status = serde_json::from_value(status).expect("status");
+    let members = serde_json::from_value(members).expect("members");
+    let problems = find_problems(&status, &members);
+    problems.into_iter().map(|problem| format!("{} -> {}", problem.what, problem.next)).collect()
+}
+
+#[test]
+fn status_names_each_problem_once_with_the_next_command() {
+    let expected = [
+        "instance i1 takes no requests: it starts -> figglade members",
+        "control member i2 does not answer -> restart it, or: figglade control replace i2 NEW PEER",
+        "instance i3 is not ready -> figglade status --addr 127.0.0.1:2",
+        "index a: no live replica of shard 3, 5 -> figglade targets --index a",
+        "configuration 4 is in force at 1 of 2 instances -> figglade config wait --version 4",
+    ];
+    assert_eq!(status_problems(json!("i1")), expected);
+}
+
+#[test]
+fn group_without_a_leader_is_not_asked_to_change_its_members() {
+    let problems = status_problems(json!(null));
+    assert!(problems[1].starts_with("the control group has no leader"), "{problems:?}");
+    assert!(!problems.iter().any(|problem| problem.contains("control replace")), "{problems:?}");
+}
+
 fn exception(scope: &str, set: serde_json::Value, reason: &str) -> FleetException {
     let value = json!({ "scope": scope, "set": set, "reason": reason });
     serde_json::from_value(value).expect("exception")
