Test the time line with an instance that refuses and a replacement with lost answers

Cause: the test of the time line never had an instance that did not answer, and no command of the control group had lost an answer.

Conclusion: the time line says what it lacks, and a replacement goes on after lost answers.

--- a/crates/figglade-cli/src/request.rs
+++ b/crates/figglade-cli/src/request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use figglade::{
-    RequestId, WallTime,
+    RequestId,
     wire::{ActionOutcome, ActionResponse, QueryResponse},
 };
 use hyper::Method;
@@ -77,12 +77,6 @@
     Err(CliError::NotDone { request, outcome: answer.outcome, reason })
 }
 
-/// Returns the wall time.
-pub(crate) fn wall_now() -> WallTime {
-    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    WallTime::from_millis(since_epoch.unwrap_or_default().as_millis() as u64)
-}
-
 async fn send_request(
     path: &str,
     body: &Value,
--- a/crates/figglade-cli/src/status.rs
+++ b/crates/figglade-cli/src/status.rs
@@ -16,9 +16,9 @@
 };
 
 /// The most problems shown, so that they fit one screen.
-const MAX_SHOWN_PROBLEMS: usize = 12;
-/// The most indexes shown.
-const MAX_SHOWN_INDEXES: usize = 10;
+const MAX_SHOWN_PROBLEMS: usize = 6;
+/// The most indexes shown; those with a problem come first.
+const MAX_SHOWN_INDEXES: usize = 5;
 
 /// One thing that is wrong.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -213,7 +213,9 @@
     if status.indexes.is_empty() {
         return;
     }
-    let rows = status.indexes.iter().take(MAX_SHOWN_INDEXES).map(|index| {
+    let mut indexes: Vec<_> = status.indexes.iter().collect();
+    indexes.sort_by_key(|index| (index.covered, &index.index));
+    let rows = indexes.iter().take(MAX_SHOWN_INDEXES).map(|index| {
         vec![
             index.index.to_string(),
             or_unknown(index.version),
@@ -222,4 +224,7 @@
         ]
     });
     print_table(&["index", "version", "shards", "covered"], rows.collect());
+    if indexes.len() > MAX_SHOWN_INDEXES {
+        println!("and {} more indexes; see --json", indexes.len() - MAX_SHOWN_INDEXES);
+    }
 }
--- a/crates/figglade-cli/src/timeline/mod.rs
+++ b/crates/figglade-cli/src/timeline/mod.rs
@@ -8,13 +8,16 @@
 use serde_json::json;
 
 use self::gather::gather_events;
-pub use self::{gather::GatheredEvents, html::render_page, time::format_time};
+pub use self::{
+    gather::GatheredEvents,
+    html::render_page,
+    time::{format_time, wall_now},
+};
 use crate::{
     args::{ConnectOptions, TimelineOptions},
     client::OperatorClient,
     error::CliError,
     output::{print_json, print_table},
-    request::wall_now,
 };
 
 /// Shows the events of all reachable instances in causal order.
--- a/crates/figglade-cli/src/timeline/time.rs
+++ b/crates/figglade-cli/src/timeline/time.rs
@@ -1,10 +1,18 @@
-//! Wall times as text.
+//! Wall times and their text.
+
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use figglade::WallTime;
 
 /// The milliseconds of a day.
 const DAY_MS: u64 = 86_400_000;
 
+/// Returns the present wall time.
+pub fn wall_now() -> WallTime {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime::from_millis(since_epoch.unwrap_or_default().as_millis() as u64)
+}
+
 /// Writes a wall time in UTC, such as `2026-05-04 10:05:28.250`.
 pub fn format_time(wall: WallTime) -> String {
     let millis = wall.as_millis();
--- a/crates/figglade-cli/src/try_tier.rs
+++ b/crates/figglade-cli/src/try_tier.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error, From};
 use figglade::{
-    IndexName, IndexVersion, PartitionEpoch, RequestId, WallTime, ZoneName,
+    IndexName, IndexVersion, PartitionEpoch, RequestId, ZoneName,
     wire::{ActionOutcome, ActionResponse, QueryResponse},
 };
 use figglade_testkit::{
@@ -16,6 +16,8 @@
 };
 use serde_json::json;
 
+use crate::timeline::wall_now;
+
 /// The index that the embedded tier serves.
 const INDEX: &str = "register-portal";
 /// The shards of the index.
@@ -198,8 +200,3 @@
 fn zone_name() -> ZoneName {
     "local".parse().expect("the name has allowed characters")
 }
-
-fn wall_now() -> WallTime {
-    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    WallTime::from_millis(since_epoch.unwrap_or_default().as_millis() as u64)
-}
--- a/crates/figglade-cli/tests/commands.rs
+++ b/crates/figglade-cli/tests/commands.rs
@@ -161,7 +161,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn time_line_merges_instances_and_names_those_not_reached() {
+async fn time_line_merges_instances_in_order() {
     let mut tier = EmbeddedTier::start(2, 1).await;
     tier.wait_members().await;
     let page = tier.folder.path().join("timeline.html");
@@ -186,3 +186,34 @@
     assert_eq!(status.json()["status"]["instance"], "i0");
     tier.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn time_line_names_instances_that_do_not_answer() {
+    let keys = tempfile::tempdir().expect("dir");
+    let file = keys.path().join("operator.keys");
+    fs::write(&file, "# operators\nan-operator-key-of-the-test\n").expect("file");
+    let file = file.to_str().expect("path");
+    // The second instance takes a key; the first is open.
+    let tier = EmbeddedTier::start_with(2, 1, |number| match number {
+        1 => format!("[keys]\noperator = \"{file}\"\n"),
+        _ => String::new(),
+    })
+    .await;
+    wait_until("both are known", async || {
+        let run = tier.run(&["members", "--json"]).await;
+        run.code == 0 && run.json()["members"].as_array().map(Vec::len) == Some(2)
+    })
+    .await;
+    let page = keys.path().join("timeline.html");
+    let args = ["timeline", "--since", "1h", "--html", page.to_str().expect("path")];
+    let run = tier.run(&args).await.expect_code(0);
+    assert!(run.err.contains("not reached: i1") && run.err.contains("401"), "{run:?}");
+    assert!(fs::read_to_string(&page).expect("page").contains("not reached: i1"));
+    let all = tier.run(&["timeline", "--since", "1h", "--json", "--key-file", file]).await;
+    let all = all.expect_code(0);
+    assert_eq!(all.json()["unreachable"], json!({}));
+    let refused = tier.run_at(1, &["status"]).await.expect_code(1);
+    assert!(refused.err.contains("key_missing"), "{refused:?}");
+    assert!(!all.err.contains("an-operator-key"), "the key was printed");
+    tier.close().await;
+}
--- a/crates/figglade-cli/tests/lost_answers.rs
+++ b/crates/figglade-cli/tests/lost_answers.rs
@@ -62,3 +62,22 @@
     proxy.close().await;
     tier.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replacement_goes_on_where_answers_are_lost() {
+    let tier = EmbeddedTier::start(2, 1).await;
+    tier.wait_members().await;
+    let proxy = FaultProxy::start(tier.http[0]).await.expect("proxy");
+    proxy.set_direction_fault(ProxyDirection::ToClient, ProxyFault::Truncate { bytes: 0 });
+    let (lossy, sound) = (proxy.address().to_string(), tier.http[1].to_string());
+    let peer = tier.peer[1].to_string();
+    let replace = ["control", "replace", "--addr", &lossy, "--addr", &sound, "i0", "i1", &peer];
+    let run = run_cli(&replace).await.expect_code(0);
+    assert!(run.out.contains("i1 took the place of i0"), "{run:?}");
+    let members = tier.run_at(1, &["members", "--json"]).await.expect_code(0).json();
+    let group = members["control"]["members"].as_object().expect("group");
+    assert_eq!(group.keys().collect::<Vec<_>>(), ["i1"]);
+    assert!(proxy.accepted() > 0, "the lossy address was tried first");
+    proxy.close().await;
+    tier.close().await;
+}
--- a/crates/figglade-cli/tests/support/mod.rs
+++ b/crates/figglade-cli/tests/support/mod.rs
@@ -66,12 +66,17 @@
     /// Starts `count` instances, the first `members` of which form the control group; every
     /// instance has a disk.
     pub async fn start(count: usize, members: usize) -> Self {
+        Self::start_with(count, members, |_| String::new()).await
+    }
+
+    /// Starts instances whose settings end with what `extra` returns for each.
+    pub async fn start_with(count: usize, members: usize, extra: impl Fn(usize) -> String) -> Self {
         let folder = tempfile::tempdir().expect("folder");
         let http = (0..count).map(|_| free_address()).collect();
         let peer = (0..count).map(|_| free_address()).collect();
         let mut tier = Self { instances: Vec::new(), http, peer, folder };
         for number in 0..count {
-            let text = tier.settings_text(number, members);
+            let text = tier.settings_text(number, members) + &extra(number);
             let settings = InstanceSettings::from_text(&text, Path::new("test settings"));
             let log = slog::Logger::root(slog::Discard, slog::o!());
             let instance = InstanceRuntime::start(settings.expect("settings"), log).await;
