Keep the first column of a table in one line

Cause: times of the time line and names wrapped in the middle on a terminal of 90 columns. Change: the first column is not wrapped where it takes at most a third of the width.

Conclusion: tables keep to their width and their first column stays whole.

--- a/crates/figglade-cli/src/output.rs
+++ b/crates/figglade-cli/src/output.rs
@@ -2,7 +2,7 @@
 
 use std::io::IsTerminal;
 
-use comfy_table::{ContentArrangement, Table, presets};
+use comfy_table::{ColumnConstraint, ContentArrangement, Table, presets};
 use serde::Serialize;
 
 /// The width of tables that do not go to a terminal, in columns.
@@ -60,6 +60,12 @@
     for row in rows {
         table.add_row(row.iter().map(|cell| clean_text(cell)).collect::<Vec<_>>());
     }
+    // The first column names the row; it stays in one line where that leaves room for the others.
+    let names_fit =
+        table.column_max_content_widths().first().is_some_and(|most| *most <= width / 3);
+    if names_fit && let Some(column) = table.column_mut(0) {
+        column.set_constraint(ColumnConstraint::ContentWidth);
+    }
     table.trim_fmt()
 }
 
--- a/crates/figglade-cli/src/timeline/gather.rs
+++ b/crates/figglade-cli/src/timeline/gather.rs
@@ -34,7 +34,7 @@
         let unreachable =
             self.unreachable.iter().map(|(id, reason)| format!("not reached: {id} ({reason})"));
         let truncated =
-            self.truncated.iter().map(|id| format!("not complete: {id} holds more events"));
+            self.truncated.iter().map(|id| format!("not complete: {id} left older events out"));
         unreachable.chain(truncated).collect()
     }
 }
--- a/crates/figglade-cli/tests/offline.rs
+++ b/crates/figglade-cli/tests/offline.rs
@@ -106,12 +106,16 @@
 
 #[test]
 fn tables_keep_to_their_width() {
-    let row =
-        vec!["a".to_owned(), "long words that must wrap ".repeat(20), "x\u{1b}[31m".to_owned()];
+    let row = vec![
+        "first name".to_owned(),
+        "long words that must wrap ".repeat(20),
+        "x\u{1b}[31m".to_owned(),
+    ];
     for width in [40, 80, 120] {
         let table = render_table(&["key", "value", "unit"], vec![row.clone()], width);
         let widest = table.lines().map(|line| line.chars().count()).max().expect("lines");
         assert!(widest <= usize::from(width), "{widest} > {width}");
+        assert!(table.lines().nth(1).is_some_and(|line| line.contains("first name ")), "{table}");
         assert!(!table.contains('\u{1b}'), "a control character was printed");
     }
 }
