--- a/crates/figgladed/src/tier/action.rs
+++ b/crates/figgladed/src/tier/action.rs
@@ -16,7 +16,7 @@
 };
 use serde_json::value::RawValue;
 
-use super::{IndexView, QueryTier, Refusal, TierError, millis_left, validate};
+use super::{IndexView, QueryTier, Refusal, TierError, millis_left, query::answer_by, validate};
 
 /// How long the record of a refusal may take; the deadline of the request may be unusable.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -58,7 +58,7 @@
         let checked = validate::check_deadline(request.deadline_ms, &settings)
             .and_then(|()| validate::check_key(&request.key));
         let digest = BodyDigest::of_action(&request.index, &request.key, request.body.get());
-        let deadline = received + Duration::from_millis(request.deadline_ms);
+        let deadline = answer_by(received, request.deadline_ms, settings.answer_margin_ms);
         let plan = ActionPlan { request, digest, deadline };
         if let Err(error) = checked {
             // Another copy of the request may be running, or pass the limits of another instance.
@@ -184,15 +184,20 @@
         let mut tried = Vec::new();
         loop {
             let now = self.now();
+            if now >= plan.deadline {
+                return SendEnd::NotRun(AttemptError::NotSent);
+            }
             let picker = &view.tools.picker;
-            let scope = PickScope { replicas, tried: &tried, snapshot: None };
+            let live = picker.live.get();
+            let (tried_now, live) = (&tried, live.as_deref());
+            let scope = PickScope { replicas, tried: tried_now, snapshot: None, live };
             let picked = picker.pick(&scope, now, &mut rand::rng()).map(Arc::clone);
             let Some(route) = picked else { return SendEnd::NotRun(AttemptError::NotSent) };
             tried.push(route.target.clone());
             let end = self.send_act(plan, view, &route, shard).await;
             match end {
                 Ok(reply) => return SendEnd::Done(reply.result),
-                Err(AttemptError::NotSent) if self.now() < plan.deadline => {}
+                Err(AttemptError::NotSent) => {}
                 Err(error) if error.is_surely_not_run() => return SendEnd::NotRun(error),
                 Err(error) => return SendEnd::Unknown(error),
             }
