Record leader, member set, staleness and disk events in the time line

Cause: these kinds of event existed and nothing recorded them, so the time line of a failover was empty. Change: the control member and the control plane record them where they log. Conclusion: an operator sees failovers in figglade timeline.

--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -12,6 +12,7 @@
     InstanceId, Timestamp,
     border::{LogStore, LogStoreError, PeerLink},
     controller::{
+        event::EventKind,
         ledger::{ConfigChange, Ledger, LedgerCommand, LedgerError, LedgerReply},
         quorum::{
             EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberChange, MemberSet, ProposeError,
@@ -118,6 +119,8 @@
     pub clock: ProcessClock,
     /// Called when the ledger changed what instances hold.
     pub on_change: Box<dyn Fn() + Send>,
+    /// Takes events for the time line.
+    pub note: Box<dyn Fn(EventKind, String) + Send>,
     /// The log of the process.
     pub log: Logger,
 }
@@ -236,6 +239,7 @@
                 Err(failure) => {
                     error!(self.parts.log, "quorum: the member stops taking part";
                         "reason" => %failure);
+                    (self.parts.note)(EventKind::DiskFault, failure.to_string());
                     self.publish_view(Some(failure.to_string()));
                     return;
                 }
@@ -430,8 +434,10 @@
             }
             QuorumAction::LeaderChanged { leader, term } => self.follow_leader(leader, term),
             QuorumAction::MembersChanged(members) => {
-                info!(self.parts.log, "quorum: the member set changed";
-                    "members" => members.members.len());
+                let names: Vec<_> = members.members.keys().map(ToString::to_string).collect();
+                let detail = format!("members are {}", names.join(", "));
+                info!(self.parts.log, "quorum: the member set changed, {}", detail);
+                (self.parts.note)(EventKind::ControlGroupChanged, detail);
             }
         }
         Ok(())
@@ -533,7 +539,8 @@
 
     fn follow_leader(&mut self, leader: Option<InstanceId>, term: Term) {
         let name = leader.as_ref().map_or("none".to_owned(), ToString::to_string);
-        info!(self.parts.log, "quorum: the leader changed"; "leader" => name, "term" => %term);
+        info!(self.parts.log, "quorum: the leader changed"; "leader" => &name, "term" => %term);
+        (self.parts.note)(EventKind::LeaderChanged, format!("leader {name} in term {term}"));
         if leader.as_ref() != Some(&self.parts.settings.id) {
             self.shares = None;
             // The entries may still be committed by the next leader.
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -97,6 +97,7 @@
     stopping: AtomicBool,
     abandoned: AtomicBool,
     was_ready: AtomicBool,
+    was_stale: AtomicBool,
     shares: Mutex<ShareHolder>,
     reports: Mutex<Vec<ManifestReport>>,
     reported: Notify,
@@ -118,6 +119,7 @@
             stopping: AtomicBool::new(false),
             abandoned: AtomicBool::new(false),
             was_ready: AtomicBool::new(false),
+            was_stale: AtomicBool::new(true),
             reports: Mutex::default(),
             reported: Notify::new(),
             renew_now,
@@ -270,6 +272,18 @@
         let reason = self.unready_reason();
         self.parts.gossip.set_facts(leader, reason.is_none());
         self.note_readiness(reason);
+        self.note_staleness();
+    }
+
+    /// Records when the instance turns stale or current.
+    fn note_staleness(&self) {
+        let settings = self.parts.state.settings();
+        let stale = self.parts.state.is_stale(&settings, self.parts.clock.now());
+        if self.was_stale.swap(stale, Ordering::Relaxed) == stale {
+            return;
+        }
+        let kind = if stale { EventKind::StaleEntered } else { EventKind::StaleLeft };
+        self.parts.timeline.record(kind, None, "");
     }
 
     /// Records when the instance turns ready or not ready.
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -245,6 +245,7 @@
         let Some(folder) = &self.settings.instance.data_dir else { return Ok(None) };
         let store = FileLogStore::open(&folder.join(LOG_FOLDER), StoreLimits::default())?;
         let renew_now = Arc::clone(&self.renew_now);
+        let timeline = self.timeline.recorder();
         let parts = MemberParts {
             settings: QuorumSettings {
                 id: self.settings.instance.id.clone(),
@@ -261,6 +262,7 @@
             link: Arc::new(link.clone()),
             clock: self.clock,
             on_change: Box::new(move || renew_now.notify_one()),
+            note: Box::new(move |kind, detail| timeline.record(kind, None, detail)),
             log: self.log.clone(),
         };
         Ok(Some(ControlMember::start(parts)?))
