Retry only dead members, not those that left

Cause: members that announced their leave were pinged for as long as they are remembered. Change: only dead members and absent seeds are retried.

--- a/crates/figglade/src/controller/membership/rejoin.rs
+++ b/crates/figglade/src/controller/membership/rejoin.rs
@@ -164,7 +164,8 @@
         let absent = self.seeds.iter().copied().filter(|seed| !held.contains(seed));
         let mut candidates: Vec<(Option<u64>, SocketAddr)> =
             absent.map(|seed| (None, seed)).collect();
-        let dead = self.table.entries().filter(|(_, entry)| !entry.record.state.is_live());
+        let is_dead = |record: &MemberRecord| record.state == MemberState::Dead;
+        let dead = self.table.entries().filter(|(_, entry)| is_dead(&entry.record));
         candidates.extend(dead.map(|(key, entry)| (Some(key), entry.record.peer)));
         candidates.shuffle(rng);
         let count = if joining { JOIN_PINGS } else { 1 };
