--- a/crates/figglade/tests/share_leases.rs
+++ b/crates/figglade/tests/share_leases.rs
@@ -11,6 +11,7 @@
             ShareTiming,
         },
     },
+    peer::encode_payload,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -307,6 +308,22 @@
     }
 }
 
+#[test]
+fn a_renewal_takes_few_bytes() {
+    let mut cluster = Cluster::new(6, 10);
+    cluster.rough = false;
+    (0..10).for_each(|position| cluster.start(position));
+    cluster.run(6, Duration::from_secs(10));
+    let now = cluster.local(0);
+    let request = cluster.instances[0].holder.as_mut().unwrap().begin_request(now);
+    let (grant, _) = cluster.leader.as_mut().unwrap().handle_request(&request, cluster.now);
+    assert_eq!(grant.holders, None, "holders are sent once an epoch");
+    let asked = encode_payload(&request).unwrap().len();
+    let granted = encode_payload(&grant).unwrap().len();
+    println!("request {asked} B, grant {granted} B");
+    assert!(asked + granted <= 200);
+}
+
 #[test]
 fn one_instance_gets_the_whole_cap_within_a_second() {
     let mut cluster = Cluster::new(1, 1);
