Hand the control plane's numbers to the metrics

GET /metrics rendered the instruments without the numbers that other parts count: nothing called set_peer_traffic, set_control, set_pool or set_timeline, so peer bytes, members, targets, the configuration in force and the pools always showed 0.

The handler now asks the control plane to hand these numbers over before it renders; PlaneParts gets the peer handle and a reader of the connection pools for it.

--- a/crates/figgladed/src/api/mod.rs
+++ b/crates/figgladed/src/api/mod.rs
@@ -92,6 +92,9 @@
     /// Returns the instances known.
     fn members(&self) -> Value;
 
+    /// Hands the numbers that other parts count to the instruments.
+    fn refresh_metrics(&self, metrics: &TierMetrics);
+
     /// Returns the events since a wall time in milliseconds.
     fn events(&self, since_ms: u64, request: Option<figglade::RequestId>) -> Value;
 }
--- a/crates/figgladed/src/api/platform.rs
+++ b/crates/figgladed/src/api/platform.rs
@@ -43,10 +43,13 @@
 async fn metrics(rqctx: RequestContext<Arc<ApiContext>>) -> ApiResult {
     let context = rqctx.context();
     Ok(match check_key(&context.keys, Role::Operator, rqctx.request.headers()) {
-        Ok(()) => match context.metrics.render() {
-            Ok(text) => text_reply(StatusCode::OK, text),
-            Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        },
+        Ok(()) => {
+            context.control.refresh_metrics(&context.metrics);
+            match context.metrics.render() {
+                Ok(text) => text_reply(StatusCode::OK, text),
+                Err(error) => text_reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+            }
+        }
         Err(error) => refuse(&error.into()),
     })
 }
--- a/crates/figgladed/src/control/gossip.rs
+++ b/crates/figgladed/src/control/gossip.rs
@@ -219,6 +219,13 @@
         self.controllers.lock().directory.records().cloned().collect()
     }
 
+    /// Returns the number of targets that take work.
+    pub fn count_ready(&self) -> usize {
+        let controllers = self.controllers.lock();
+        let records = controllers.directory.records();
+        records.filter(|entry| entry.effective_state() == EffectiveState::Ready).count()
+    }
+
     /// Announces that the instance leaves.
     pub fn begin_leave(&self) {
         let now = self.parts.clock.now();
--- a/crates/figgladed/src/control/mod.rs
+++ b/crates/figgladed/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control plane: membership, the target directory, the quorum log and what follows from them.
 
 mod error;
+mod gauges;
 mod gossip;
 mod group;
 mod member;
--- a/crates/figgladed/src/control/operator.rs
+++ b/crates/figgladed/src/control/operator.rs
@@ -25,7 +25,10 @@
     message::{ControlReply, ControlRequest, MemberRequest},
     plane::{ControlPlane, failure_outcome},
 };
-use crate::api::{AnnounceError, ControlApi, OperatorReply};
+use crate::{
+    api::{AnnounceError, ControlApi, OperatorReply},
+    metrics::TierMetrics,
+};
 
 /// How long a change may look for the leader.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -77,6 +80,10 @@
         json!({ "members": members, "control": control })
     }
 
+    fn refresh_metrics(&self, metrics: &TierMetrics) {
+        ControlPlane::refresh_metrics(self, metrics);
+    }
+
     fn events(&self, since_ms: u64, request: Option<RequestId>) -> Value {
         let page = self.parts.timeline.since(&EventQuery {
             since: HybridStamp::first_at(WallTime::from_millis(since_ms)),
@@ -177,7 +184,7 @@
         }
     }
 
-    fn quorum_status(&self) -> Option<QuorumStatus> {
+    pub(super) fn quorum_status(&self) -> Option<QuorumStatus> {
         self.parts.member.as_ref().and_then(|member| member.view().status)
     }
 
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -43,7 +43,8 @@
 use crate::{
     api::AnnounceError,
     clock::ProcessClock,
-    peer_link::{CallRefusal, PeerHandler, PeerSender},
+    metrics::PoolGauges,
+    peer_link::{CallRefusal, PeerHandle, PeerHandler, PeerSender},
     tier::{ControlView, IndexBoard},
     timeline::TimelineRecorder,
 };
@@ -85,6 +86,10 @@
     pub member: Option<MemberHandle>,
     /// Bounds the connections to an address and returns whether no more are open.
     pub limit_connections: Box<dyn Fn(SocketAddr, u32) -> bool + Send + Sync>,
+    /// Reads the connections to targets.
+    pub read_pool: Box<dyn Fn() -> PoolGauges + Send + Sync>,
+    /// The links to other instances.
+    pub peer: PeerHandle,
     /// The time line.
     pub timeline: TimelineRecorder,
     /// The log of the process.
--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -115,9 +115,9 @@
         let group = builder.make_group(peer, &link, handle.clone());
         // The port of the HTTP interface is known before it listens only where it is not zero.
         let http = builder.settings.listen.http;
-        let gossip = builder.make_gossip(peer, http, link);
+        let gossip = builder.make_gossip(peer, http, link.clone());
         handler.connect(Arc::clone(&gossip), handle.clone());
-        let plane = builder.make_plane(group, Arc::clone(&gossip), handle);
+        let plane = builder.make_plane(group, Arc::clone(&gossip), link, handle);
         let server = builder.start_api(&plane)?;
         info!(builder.log, "instance: started"; "http" => %server.local_addr(), "peer" => %peer);
         let gossip_task = tokio::spawn(Arc::clone(&gossip).run());
@@ -331,9 +331,11 @@
         &self,
         group: Arc<ControlGroup>,
         gossip: Arc<GossipDriver>,
+        peer: PeerHandle,
         member: Option<MemberHandle>,
     ) -> Arc<ControlPlane> {
         let client = Arc::clone(&self.client);
+        let pool_client = Arc::clone(&self.client);
         let parts = PlaneParts {
             clock: self.clock,
             instance: self.settings.instance.id.clone(),
@@ -346,6 +348,8 @@
             limit_connections: Box::new(move |address, share| {
                 client.limit_connections(address, share)
             }),
+            read_pool: Box::new(move || pool_client.pool_gauges()),
+            peer,
             timeline: self.timeline.recorder(),
             log: self.log.clone(),
         };
