--- a/crates/figglade-bench/src/cluster.rs
+++ b/crates/figglade-bench/src/cluster.rs
@@ -48,6 +48,13 @@
     /// A file could not be read or written.
     #[display("{_0}")]
     File(std::io::Error),
+    /// An instance refused what was asked, or did not do it in time.
+    #[display("an instance refused; last answer: {seen}")]
+    #[from(ignore)]
+    Refused {
+        /// The last answer.
+        seen: String,
+    },
     /// The tier did not cover the whole index in time.
     #[display("the tier did not cover the whole index; last answer: {seen}")]
     #[from(ignore)]
--- a/crates/figglade-bench/src/lib.rs
+++ b/crates/figglade-bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod case;
 pub mod check;
 pub mod cluster;
+pub mod control;
 pub mod load;
 pub mod report;
 pub mod run;
