Hold back what a target cannot run and find the hedge delay sooner

Requests beyond the slots of a target queued there, where they could not be given up and where a short queue sheds them. An instance now has at most its share of the slots and two more at a target; the limit falls by a fifth when the target sheds, once in a moment, and each answer gives back a hundredth. The hedge delay started at 20 ms and rose by 2% a step, which spent the budget on hedges during the first seconds; its steps now start ten times as large.

--- a/crates/figglade/src/filter/latency.rs
+++ b/crates/figglade/src/filter/latency.rs
@@ -8,20 +8,32 @@
 const HEDGE_QUANTILE: f64 = 0.995;
 /// The relative step of the tracker.
 const STEP: f64 = 0.02;
+/// The relative step before the first sample.
+const FIRST_STEP: f64 = 0.2;
+/// The samples after which the first step is halved.
+const STEP_SAMPLES: f64 = 50.0;
 /// The estimate before the first answers, in milliseconds.
 const INITIAL_DELAY_MS: f64 = 20.0;
 /// The smallest estimate, in milliseconds.
 const MIN_DELAY_MS: f64 = 0.2;
 
-/// Follows a quantile by small steps: up after a slower sample, down after a faster one.
+/// Follows a quantile by small steps: up after a slower sample, down after a faster one. The steps
+/// start large, so that the first guess is left soon.
 #[derive(Debug)]
 pub struct LatencyTracker {
-    delay_ms: Mutex<f64>,
+    state: Mutex<TrackerState>,
+}
+
+#[derive(Debug)]
+struct TrackerState {
+    delay_ms: f64,
+    samples: f64,
 }
 
 impl Default for LatencyTracker {
     fn default() -> Self {
-        Self { delay_ms: Mutex::new(INITIAL_DELAY_MS) }
+        let state = TrackerState { delay_ms: INITIAL_DELAY_MS, samples: 0.0 };
+        Self { state: Mutex::new(state) }
     }
 }
 
@@ -29,17 +41,19 @@
     /// Takes the latency of one answered attempt.
     pub fn observe(&self, elapsed: Duration) {
         let sample = elapsed.as_secs_f64() * 1_000.0;
-        let mut delay = lock(&self.delay_ms);
-        if sample > *delay {
-            *delay *= 1.0 + STEP * HEDGE_QUANTILE;
+        let mut state = lock(&self.state);
+        let step = (FIRST_STEP / (1.0 + state.samples / STEP_SAMPLES)).max(STEP);
+        state.samples += 1.0;
+        if sample > state.delay_ms {
+            state.delay_ms *= 1.0 + step * HEDGE_QUANTILE;
         } else {
-            *delay *= 1.0 - STEP * (1.0 - HEDGE_QUANTILE);
+            state.delay_ms *= 1.0 - step * (1.0 - HEDGE_QUANTILE);
         }
-        *delay = delay.max(MIN_DELAY_MS);
+        state.delay_ms = state.delay_ms.max(MIN_DELAY_MS);
     }
 
     /// Returns the wait after which a hedge is worth sending.
     pub fn hedge_delay(&self) -> Duration {
-        Duration::from_secs_f64(*lock(&self.delay_ms) / 1_000.0)
+        Duration::from_secs_f64(lock(&self.state).delay_ms / 1_000.0)
     }
 }
--- a/crates/figglade/src/filter/load.rs
+++ b/crates/figglade/src/filter/load.rs
@@ -33,6 +33,15 @@
 /// The time between two probes of one target, and the age of an estimate worth a probe.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The requests that may be at a target beyond its slots, so that a slot that turns free finds work.
+const LIMIT_ALLOWANCE: u32 = 2;
+/// What shed requests leave of the limit.
+const SHED_FACTOR: f64 = 0.8;
+/// The least share of the limit that is left.
+const MIN_LIMIT_SHARE: f64 = 0.01;
+/// The share of the limit that each answer gives back.
+const LIMIT_STEP: f64 = 0.01;
+
 /// How an attempt ended, as the load estimate sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -75,6 +84,8 @@
     draining_until: Timestamp,
     shedding_until: Timestamp,
     probe_after: Timestamp,
+    /// The share of the limit of requests in flight that shed requests took.
+    limit_cut: f64,
     lacks: Vec<LackedSnapshot>,
 }
 
@@ -114,6 +125,13 @@
         }
     }
 
+    /// Returns how many requests may be at the target at a time, where it has `slots` for this
+    /// instance; at least one, and fewer after it shed some.
+    pub fn limit(&self, slots: u32) -> u32 {
+        let most = f64::from(slots + LIMIT_ALLOWANCE);
+        (most * (1.0 - lock(&self.state).limit_cut)).max(1.0) as u32
+    }
+
     /// Counts an attempt that starts.
     pub fn begin_attempt(&self) {
         lock(&self.state).in_flight += 1;
@@ -207,6 +225,7 @@
         self.latency_ms = Some(estimate + weight * (sample - estimate));
         self.sampled_at = now;
         self.failures = 0;
+        self.limit_cut = (self.limit_cut - LIMIT_STEP).max(0.0);
         if self.ejected_until.take().is_some() {
             return TargetChange::Returned;
         }
@@ -233,13 +252,22 @@
     ) -> TargetChange {
         match error {
             AttemptError::Draining => self.draining_until = now + DRAIN_PAUSE,
-            AttemptError::Shed => self.shedding_until = now + SHED_PAUSE,
+            AttemptError::Shed => self.take_shed(now),
             AttemptError::VersionNotHeld => {}
             _ => return self.add_failure(now, may_eject),
         }
         TargetChange::None
     }
 
+    /// Lowers the limit once for all that was shed in a moment.
+    fn take_shed(&mut self, now: Timestamp) {
+        if now >= self.shedding_until {
+            let left = (1.0 - self.limit_cut) * SHED_FACTOR;
+            self.limit_cut = 1.0 - left.max(MIN_LIMIT_SHARE);
+        }
+        self.shedding_until = now + SHED_PAUSE;
+    }
+
     fn add_failure(
         &mut self,
         now: Timestamp,
--- a/crates/figglade/tests/picker_choice.rs
+++ b/crates/figglade/tests/picker_choice.rs
@@ -190,3 +190,28 @@
     let latency = replicas[0].load.view(NOW).latency_ms.expect("an estimate");
     assert!((20.0..40.0).contains(&latency), "{latency} ms");
 }
+
+#[test]
+fn test_the_limit_of_a_target_falls_with_what_it_sheds_and_rises_with_answers() {
+    let replicas = replicas(0, 1);
+    let load = &replicas[0].load;
+    let most = load.limit(3);
+    assert!(most >= 3);
+    let shed = |at: u64| {
+        load.begin_attempt();
+        let end = AttemptEnd::Failed(AttemptError::Shed);
+        load.end_attempt(end, Duration::ZERO, Timestamp::from_millis(at), |_| true);
+    };
+    for _ in 0..10 {
+        shed(1_000);
+    }
+    assert_eq!(load.limit(3), most - 1, "a moment counts once");
+    for step in 0..20 {
+        shed(2_000 + step * 1_000);
+    }
+    assert_eq!(load.limit(3), 1);
+    for _ in 0..1_000 {
+        answer(&replicas[0], 20);
+    }
+    assert_eq!(load.limit(3), most);
+}
--- a/crates/figgladed/src/tier/mod.rs
+++ b/crates/figgladed/src/tier/mod.rs
@@ -175,10 +175,15 @@
     }
 
     fn endpoint_of(&self, route: &TargetRoute) -> TargetEndpoint {
+        let share = self.parts.control.connection_share(route);
+        // What the target could not run waits here, where it can still be given up. The slots are
+        // divided among the instances as the connections are.
+        let slots = u64::from(route.slots) * u64::from(share) / u64::from(route.connections.max(1));
+        let limit = route.load.limit(slots as u32);
         TargetEndpoint {
             target: route.target.clone(),
             address: route.address,
-            connection_share: self.parts.control.connection_share(route),
+            connection_share: share.min(limit),
         }
     }
 
