Pay for retries of short answers from the hedge budget

A shard whose replicas are all short, such as while a manifest is ahead of them, asked another replica for every query and could use up the budget of retries, which those that failed need. The hedge budget pays now, which bounds that extra load to 2%.

--- a/crates/figglade/src/filter/fanout/attempts.rs
+++ b/crates/figglade/src/filter/fanout/attempts.rs
@@ -115,6 +115,21 @@
             && self.send_attempt(slot, AttemptKind::Retry, now, rng, actions)
     }
 
+    /// Asks another replica after a short answer. The budget of hedges pays, so that a shard that is
+    /// short everywhere leaves the retries to those that failed.
+    pub(super) fn retry_short(
+        &mut self,
+        slot: usize,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        actions: &mut Vec<FanoutAction>,
+    ) -> bool {
+        self.may_send_more(slot)
+            && now < self.deadline
+            && self.tools.hedges.withdraw()
+            && self.send_attempt(slot, AttemptKind::Retry, now, rng, actions)
+    }
+
     /// Lists the open shards that may be hedged and when; only the last shards qualify.
     pub(super) fn hedge_candidates(&self) -> impl Iterator<Item = (usize, Timestamp)> + '_ {
         let tail = (self.slots.len() as f64 * self.policy.hedge_tail).ceil() as usize;
--- a/crates/figglade/src/filter/fanout/run.rs
+++ b/crates/figglade/src/filter/fanout/run.rs
@@ -206,7 +206,7 @@
         self.slots[slot].keep_fuller(reply);
         let manifest = self.snapshot.documents[self.slots[slot].shard.get() as usize];
         let full = manifest.is_none_or(|documents| self.slots[slot].kept_documents() >= documents);
-        if full || !(self.retry_slot(slot, now, rng, actions) || self.has_open(slot)) {
+        if full || !(self.has_open(slot) || self.retry_short(slot, now, rng, actions)) {
             self.close_slot(slot, MissingReason::Failed);
             self.cancel_losers(slot, now, actions);
         }
--- a/crates/figglade/tests/fanout_replies.rs
+++ b/crates/figglade/tests/fanout_replies.rs
@@ -150,3 +150,22 @@
     let (_, actions) = run.run.handle_reply(retries[0].attempt, error, NOW, &mut run.rng);
     assert!(sent(&actions).is_empty() && run.run.is_done());
 }
+
+#[test]
+fn test_a_shard_that_is_short_everywhere_leaves_the_retries_to_others() {
+    let (snapshot, tools) = (snapshot(1, 3), tools(3));
+    let (mut first, mut retries) = (0, 0);
+    for _ in 0..1_000 {
+        let mut run = TestRun::start(&snapshot, &tools, Timestamp::ZERO);
+        let mut open = run.first.clone();
+        first += open.len();
+        while let Some(attempt) = open.pop() {
+            let sent = sent(&run.answer_part(&attempt, 60, NOW));
+            retries += sent.len();
+            open.extend(sent);
+        }
+        assert!(run.run.is_done());
+    }
+    assert!(retries <= 10 + first * 2 / 100, "{retries} retries for {first} first attempts");
+    assert!(tools.retries.withdraw(), "the budget of retries is untouched");
+}
