Split the control plane and the control member by what they decide

Change: claims, reports of manifests, shares and the handler of frames are modules of their own; the member's handle, its loop and its leases likewise. No behaviour changes. Conclusion: each module has one job again.

--- /dev/null
+++ b/crates/figgladed/src/control/member_driver.rs
@@ -0,0 +1,409 @@
+//! The loop of a control member's thread.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, mpsc},
+};
+
+use bytes::Bytes;
+use figglade::{
+    InstanceId, Timestamp,
+    border::LogStoreError,
+    controller::{
+        event::EventKind,
+        ledger::{Ledger, LedgerCommand, LedgerError, LedgerReply},
+        quorum::{
+            EntryPayload, LogEntry, LogIndex, LogSnapshot, MemberChange, ProposeError,
+            QuorumAction, QuorumNode, ReadTicket, Term,
+        },
+        share::ShareLeader,
+    },
+    peer::{FrameKind, PeerFrame, encode_payload},
+};
+use parking_lot::RwLock;
+use slog::{error, info, warn};
+use tokio::sync::oneshot;
+
+use super::{
+    member::{MemberInput, MemberParts, MemberView},
+    message::{ControlReply, LeaderAddress, MemberRequest, RenewReply, RenewRequest},
+};
+
+/// The inputs taken at a time, so that proposals are committed in groups.
+const MAX_BATCH_INPUTS: usize = 1_024;
+/// The entries applied between snapshots.
+const SNAPSHOT_ENTRIES: u64 = 20_000;
+/// The changes shown in the history.
+const SHOWN_CHANGES: usize = 100;
+
+/// A proposal whose entry is in the log.
+struct PendingProposal {
+    term: Term,
+    reply: oneshot::Sender<ControlReply>,
+}
+
+/// A renewal whose read is not confirmed yet.
+struct PendingRead {
+    request: RenewRequest,
+    reply: oneshot::Sender<ControlReply>,
+}
+
+/// The reason the member takes no further part.
+#[derive(Debug, derive_more::Display, derive_more::From)]
+pub(super) enum MemberFailure {
+    Store(LogStoreError),
+    Ledger(LedgerError),
+    State(figglade::controller::ledger::StateError),
+}
+
+/// Drives the quorum log, its storage and the ledger on the thread of a control member.
+pub(super) struct MemberDriver {
+    pub(super) node: QuorumNode,
+    pub(super) ledger: Ledger,
+    pub(super) parts: MemberParts,
+    view: Arc<RwLock<MemberView>>,
+    pending: BTreeMap<LogIndex, PendingProposal>,
+    reads: HashMap<ReadTicket, PendingRead>,
+    /// The leases on shares; only at a leader that has confirmed its leadership.
+    pub(super) shares: Option<ShareLeader>,
+    snapshot_at: LogIndex,
+}
+
+impl MemberDriver {
+    /// Builds the driver from what was read from disk.
+    pub(super) fn new(
+        node: QuorumNode,
+        ledger: Ledger,
+        parts: MemberParts,
+        view: Arc<RwLock<MemberView>>,
+    ) -> Self {
+        let snapshot_at = ledger.applied();
+        Self {
+            node,
+            ledger,
+            parts,
+            view,
+            pending: BTreeMap::new(),
+            reads: HashMap::new(),
+            shares: None,
+            snapshot_at,
+        }
+    }
+
+    pub(super) fn run(&mut self, inputs: &mpsc::Receiver<MemberInput>) {
+        self.publish_view(None);
+        loop {
+            match self.run_round(inputs) {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(failure) => {
+                    error!(self.parts.log, "quorum: the member stops taking part";
+                        "reason" => %failure);
+                    (self.parts.note)(EventKind::DiskFault, failure.to_string());
+                    self.publish_view(Some(failure.to_string()));
+                    return;
+                }
+            }
+        }
+        info!(self.parts.log, "quorum: the member stopped");
+    }
+
+    /// Waits for inputs or the next deadline and handles them; returns false at the end.
+    fn run_round(&mut self, inputs: &mpsc::Receiver<MemberInput>) -> Result<bool, MemberFailure> {
+        let wait = self.node.next_deadline().since(self.now());
+        let first = match inputs.recv_timeout(wait) {
+            Ok(input) => Some(input),
+            Err(mpsc::RecvTimeoutError::Timeout) => None,
+            Err(mpsc::RecvTimeoutError::Disconnected) => return Ok(false),
+        };
+        let rest = inputs.try_iter().take(MAX_BATCH_INPUTS);
+        let batch: Vec<_> = first.into_iter().chain(rest).collect();
+        let mut proposals = Vec::new();
+        for input in batch {
+            match input {
+                MemberInput::Stop => return Ok(false),
+                MemberInput::Propose { command, reply } => proposals.push((command, reply)),
+                other => self.handle_input(other)?,
+            }
+        }
+        self.propose(proposals)?;
+        let now = self.now();
+        if now >= self.node.next_deadline() {
+            let actions = self.node.handle_tick(now, &mut rand::rng());
+            self.run_actions(actions)?;
+        }
+        self.tick_shares(now)?;
+        self.take_snapshot()?;
+        self.publish_view(None);
+        Ok(true)
+    }
+
+    fn handle_input(&mut self, input: MemberInput) -> Result<(), MemberFailure> {
+        let now = self.now();
+        match input {
+            MemberInput::Message { from, message } => {
+                let actions = self.node.handle_message(&from, message, now, &mut rand::rng());
+                self.run_actions(actions)
+            }
+            MemberInput::Renew { request, reply } => self.begin_renewal(request, reply, now),
+            MemberInput::ChangeMember { request, reply } => self.change_member(request, reply, now),
+            MemberInput::HandOver => match self.node.transfer_leadership(None, now) {
+                Ok(actions) => self.run_actions(actions),
+                Err(_) => Ok(()),
+            },
+            MemberInput::Propose { .. } | MemberInput::Stop => Ok(()),
+        }
+    }
+
+    /// Proposes a group of commands in one append and one sync.
+    fn propose(
+        &mut self,
+        proposals: Vec<(Bytes, oneshot::Sender<ControlReply>)>,
+    ) -> Result<(), MemberFailure> {
+        let mut commands = Vec::new();
+        let mut replies = Vec::new();
+        for (command, reply) in proposals {
+            match self.check_command(&command) {
+                Ok(()) => {
+                    commands.push(command);
+                    replies.push(reply);
+                }
+                Err(reason) => answer(reply, ControlReply::Refused { reason }),
+            }
+        }
+        if commands.is_empty() {
+            return Ok(());
+        }
+        match self.node.propose(commands, self.now()) {
+            Ok(accepted) => {
+                let mut index = accepted.first_index;
+                for reply in replies {
+                    let term = accepted.term;
+                    self.pending.insert(index, PendingProposal { term, reply });
+                    index = index.next();
+                }
+                self.run_actions(accepted.actions)
+            }
+            Err(refusal) => {
+                for reply in replies {
+                    answer(reply, self.refuse(&refusal));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Checks a command before it enters the log, where one that cannot be read stops everybody.
+    fn check_command(&self, command: &Bytes) -> Result<(), String> {
+        let decoded = LedgerCommand::decode(command).map_err(|error| error.to_string())?;
+        if decoded.has_plausible_wall(self.parts.clock.wall()) {
+            return Ok(());
+        }
+        Err("the wall clock of the instance is too far from that of the leader".to_owned())
+    }
+
+    fn begin_renewal(
+        &mut self,
+        request: RenewRequest,
+        reply: oneshot::Sender<ControlReply>,
+        now: Timestamp,
+    ) -> Result<(), MemberFailure> {
+        match self.node.begin_read(now) {
+            Ok((ticket, actions)) => {
+                self.reads.insert(ticket, PendingRead { request, reply });
+                self.run_actions(actions)
+            }
+            Err(refusal) => {
+                answer(reply, self.refuse(&refusal));
+                Ok(())
+            }
+        }
+    }
+
+    fn change_member(
+        &mut self,
+        request: MemberRequest,
+        reply: oneshot::Sender<ControlReply>,
+        now: Timestamp,
+    ) -> Result<(), MemberFailure> {
+        let change = match request {
+            MemberRequest::Add { id, peer, storage } => {
+                MemberChange::AddLearner { id, peer, storage }
+            }
+            MemberRequest::Promote { id } => MemberChange::Promote { id },
+            MemberRequest::Remove { id } => MemberChange::Remove { id },
+        };
+        use figglade::controller::quorum::MemberChangeError;
+        match self.node.change_members(change, now) {
+            Ok((index, actions)) => {
+                self.run_actions(actions)?;
+                answer(reply, ControlReply::MemberChanged { index });
+            }
+            Err(MemberChangeError::NotLeader { leader }) => {
+                answer(reply, self.refuse(&ProposeError::NotLeader { leader }));
+            }
+            Err(refusal) => answer(reply, ControlReply::Refused { reason: refusal.to_string() }),
+        }
+        Ok(())
+    }
+
+    fn refuse(&self, refusal: &ProposeError) -> ControlReply {
+        match refusal {
+            ProposeError::NotLeader { leader } => {
+                let leader = leader.as_ref().and_then(|id| self.address_of(id));
+                ControlReply::NotLeader { leader }
+            }
+            other => ControlReply::Refused { reason: other.to_string() },
+        }
+    }
+
+    fn address_of(&self, id: &InstanceId) -> Option<LeaderAddress> {
+        let members = self.node.status().members;
+        let spec = members.members.get(id)?;
+        Some(LeaderAddress { id: id.clone(), peer: spec.peer })
+    }
+
+    /// Carries out actions in their order.
+    pub(super) fn run_actions(&mut self, actions: Vec<QuorumAction>) -> Result<(), MemberFailure> {
+        for action in actions {
+            self.run_action(action)?;
+        }
+        Ok(())
+    }
+
+    fn run_action(&mut self, action: QuorumAction) -> Result<(), MemberFailure> {
+        match action {
+            QuorumAction::SaveHardState(state) => self.parts.store.save_hard_state(&state)?,
+            QuorumAction::Append(entries) => self.parts.store.append(&entries)?,
+            QuorumAction::SaveSnapshot(snapshot) => self.parts.store.save_snapshot(&snapshot)?,
+            QuorumAction::Send { address, message, .. } => match encode_payload(&message) {
+                Ok(payload) => {
+                    let frame = PeerFrame { kind: FrameKind::Quorum, payload };
+                    self.parts.link.send(address, frame);
+                }
+                Err(error) => warn!(self.parts.log, "quorum: a message was not sent";
+                    "error" => %error),
+            },
+            QuorumAction::Apply(entries) => self.apply_entries(entries)?,
+            QuorumAction::Restore(snapshot) => self.restore(&snapshot)?,
+            QuorumAction::ReadReady { ticket, .. } => self.finish_read(ticket)?,
+            QuorumAction::ReadFailed { ticket } => {
+                if let Some(read) = self.reads.remove(&ticket) {
+                    answer(read.reply, ControlReply::NotLeader { leader: None });
+                }
+            }
+            QuorumAction::LeaderChanged { leader, term } => self.follow_leader(leader, term),
+            QuorumAction::MembersChanged(members) => {
+                let names: Vec<_> = members.members.keys().map(ToString::to_string).collect();
+                let detail = format!("members are {}", names.join(", "));
+                info!(self.parts.log, "quorum: the member set changed, {}", detail);
+                (self.parts.note)(EventKind::ControlGroupChanged, detail);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply_entries(&mut self, entries: Vec<LogEntry>) -> Result<(), MemberFailure> {
+        let mut new_holders = false;
+        let before = self.ledger.config().version;
+        let revision = self.ledger.manifests().revision();
+        for entry in entries {
+            let EntryPayload::Command(command) = &entry.payload else {
+                self.resolve(entry.index, entry.term, None);
+                continue;
+            };
+            let reply = self.ledger.apply(entry.index, command)?;
+            new_holders |= matches!(reply, LedgerReply::Holders { accepted: true, .. });
+            self.resolve(entry.index, entry.term, Some(reply));
+        }
+        if new_holders {
+            self.follow_holders()?;
+        }
+        if self.ledger.config().version != before || self.ledger.manifests().revision() != revision
+        {
+            (self.parts.on_change)();
+        }
+        Ok(())
+    }
+
+    /// Answers the proposal at `index`; another term there means that it was replaced.
+    fn resolve(&mut self, index: LogIndex, term: Term, reply: Option<LedgerReply>) {
+        let Some(proposal) = self.pending.remove(&index) else { return };
+        let outcome = match reply {
+            Some(reply) if proposal.term == term => ControlReply::Applied(reply),
+            _ => ControlReply::NotLeader { leader: None },
+        };
+        answer(proposal.reply, outcome);
+    }
+
+    fn restore(&mut self, snapshot: &LogSnapshot) -> Result<(), MemberFailure> {
+        self.ledger = Ledger::decode_state(&snapshot.state)?;
+        self.snapshot_at = snapshot.last_index;
+        (self.parts.on_change)();
+        Ok(())
+    }
+
+    fn finish_read(&mut self, ticket: ReadTicket) -> Result<(), MemberFailure> {
+        let Some(read) = self.reads.remove(&ticket) else { return Ok(()) };
+        let now = self.now();
+        let (share, actions) = self.share_leader(now).handle_request(&read.request.share, now);
+        let config = self.ledger.config();
+        let has_config = read.request.config_version >= config.version;
+        let manifests = self.ledger.manifests().news_since(read.request.manifest_revision);
+        let renewed = RenewReply {
+            config: (!has_config).then(|| config.as_ref().clone()),
+            has_more: manifests.revision < self.ledger.manifests().revision(),
+            manifests,
+            share,
+        };
+        answer(read.reply, ControlReply::Renewed(Box::new(renewed)));
+        self.run_share_actions(actions)
+    }
+
+    fn follow_leader(&mut self, leader: Option<InstanceId>, term: Term) {
+        let name = leader.as_ref().map_or("none".to_owned(), ToString::to_string);
+        info!(self.parts.log, "quorum: the leader changed"; "leader" => &name, "term" => %term);
+        (self.parts.note)(EventKind::LeaderChanged, format!("leader {name} in term {term}"));
+        if leader.as_ref() != Some(&self.parts.settings.id) {
+            self.shares = None;
+            // The entries may still be committed by the next leader.
+            for (_, proposal) in std::mem::take(&mut self.pending) {
+                answer(proposal.reply, ControlReply::Undecided);
+            }
+        }
+    }
+
+    fn take_snapshot(&mut self) -> Result<(), MemberFailure> {
+        let applied = self.ledger.applied();
+        if applied.get() < self.snapshot_at.get() + SNAPSHOT_ENTRIES {
+            return Ok(());
+        }
+        self.snapshot_at = applied;
+        let state = self.ledger.encode_state()?;
+        let actions = self.node.compact(applied, state);
+        self.run_actions(actions)
+    }
+
+    fn publish_view(&self, failure: Option<String>) {
+        let status = Some(self.node.status());
+        let mut view = self.view.write();
+        view.status = status;
+        view.claims = self.ledger.claim_count();
+        view.failure = failure;
+        let shown = view.history.last().map(|change| change.version);
+        if shown.unwrap_or_default() != self.ledger.config().version {
+            let latest = self.ledger.history().rev().take(SHOWN_CHANGES).cloned();
+            view.history = latest.collect();
+            view.history.reverse();
+        }
+    }
+
+    pub(super) fn now(&self) -> Timestamp {
+        self.parts.clock.now()
+    }
+}
+
+/// Sends an answer to an asker that may have left.
+fn answer(reply: oneshot::Sender<ControlReply>, outcome: ControlReply) {
+    let _ = reply.send(outcome);
+}
--- /dev/null
+++ b/crates/figgladed/src/control/member_shares.rs
@@ -0,0 +1,53 @@
+//! Leases on shares of the targets' caps, granted by the leader of the control group.
+
+use figglade::{
+    Timestamp,
+    controller::{
+        ledger::LedgerCommand,
+        share::{ShareAction, ShareLeader, ShareTiming},
+    },
+};
+
+use super::member_driver::{MemberDriver, MemberFailure};
+
+impl MemberDriver {
+    /// Returns the leases of this term; the read that comes first proves that the ledger holds
+    /// every holder set of earlier terms.
+    pub(super) fn share_leader(&mut self, now: Timestamp) -> &mut ShareLeader {
+        let term = self.node.status().term;
+        let committed = self.ledger.holders().clone();
+        let start = || ShareLeader::new(term, committed, ShareTiming::default(), now);
+        self.shares.get_or_insert_with(start)
+    }
+
+    pub(super) fn tick_shares(&mut self, now: Timestamp) -> Result<(), MemberFailure> {
+        let Some(shares) = &mut self.shares else { return Ok(()) };
+        if shares.next_deadline(now).is_none_or(|due| now < due) {
+            return Ok(());
+        }
+        let actions = shares.handle_tick(now);
+        self.run_share_actions(actions)
+    }
+
+    pub(super) fn run_share_actions(
+        &mut self,
+        actions: Vec<ShareAction>,
+    ) -> Result<(), MemberFailure> {
+        for ShareAction::ProposeHolders(holders) in actions {
+            let Ok(command) = LedgerCommand::SetHolders(holders).encode() else { continue };
+            // A proposal that is refused is repeated by the controller after a while.
+            if let Ok(accepted) = self.node.propose(vec![command], self.now()) {
+                self.run_actions(accepted.actions)?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn follow_holders(&mut self) -> Result<(), MemberFailure> {
+        let now = self.now();
+        let committed = self.ledger.holders().clone();
+        let Some(shares) = &mut self.shares else { return Ok(()) };
+        let actions = shares.handle_committed(committed, now);
+        self.run_share_actions(actions)
+    }
+}
--- a/crates/figgladed/src/control/mod.rs
+++ b/crates/figgladed/src/control/mod.rs
@@ -1,24 +1,31 @@
 //! The control plane: membership, the target directory, the quorum log and what follows from them.
 
+mod claims;
 mod error;
 mod gauges;
 mod gossip;
 mod group;
+mod handler;
 mod member;
+mod member_driver;
+mod member_shares;
 mod message;
 mod operator;
 mod plane;
+mod reports;
+mod shares;
 mod state;
 
 pub use self::{
     error::{ControlError, ProposeFailure},
     gossip::{GossipDriver, GossipParts},
     group::{ControlGroup, ProposeMode},
+    handler::PlaneHandler,
     member::{
         ControlMember, ELECTION_TIMEOUT, HEARTBEAT_PERIOD, LEASE_MARGIN, MemberHandle, MemberInput,
         MemberParts,
     },
     message::{ControlReply, ControlRequest, LeaderAddress, MemberRequest},
-    plane::{ControlPlane, PlaneHandler, PlaneParts},
+    plane::{ControlPlane, PlaneParts},
     state::ControlState,
 };
--- a/crates/figgladed/src/control/plane.rs
+++ b/crates/figgladed/src/control/plane.rs
@@ -3,40 +3,33 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use figglade::{
-    Incarnation, InstanceId, RequestId, Timestamp,
-    border::{
-        ActionRecord, BodyDigest, BoxFuture, ClaimDecision, ClaimError, ClaimRequest, ClaimStore,
-    },
+    Incarnation, InstanceId, RequestId,
     controller::{
         event::EventKind,
         fleet::{FleetDefaults, StalePolicy},
-        ledger::{
-            ClaimAbandon, ClaimFinish, ClaimRefusal, ClaimReply, FinishReply, LedgerCommand,
-            LedgerReply, ManifestReport,
-        },
+        ledger::ManifestReport,
         membership::LeaderHint,
-        share::{LeasePhase, ShareGrant, ShareHolder, ShareTiming},
+        share::{ShareHolder, ShareTiming},
     },
     filter::routing::TargetRoute,
-    peer::{FrameKind, PeerFrame, decode_payload, encode_payload},
     wire::{ActionOutcome, AnnounceResponse, Announcement},
 };
 use parking_lot::Mutex;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use super::{
     error::ProposeFailure,
     gossip::GossipDriver,
-    group::{ControlGroup, ProposeMode, ask_member},
-    member::{MemberHandle, MemberInput},
+    group::{ControlGroup, ProposeMode},
+    member::MemberHandle,
     message::{ControlReply, ControlRequest},
     state::ControlState,
 };
@@ -44,7 +37,7 @@
     api::AnnounceError,
     clock::ProcessClock,
     metrics::PoolGauges,
-    peer_link::{CallRefusal, PeerHandle, PeerHandler, PeerSender},
+    peer_link::PeerHandle,
     tier::{ControlView, IndexBoard},
     timeline::TimelineRecorder,
 };
@@ -55,16 +48,6 @@
 const MIN_RENEW_PERIOD: Duration = Duration::from_millis(20);
 /// How long one renewal may look for the leader.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// How long a stopping instance may look for the leader to give its lease back.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// How long a claim may look for the leader.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long the outcome of an action may look for the leader.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(30);
-/// How long reports of manifests are gathered.
-const MANIFEST_PERIOD: Duration = Duration::from_millis(50);
-/// The reports that may wait for the leader.
-const MAX_WAITING_REPORTS: usize = 65_536;
 
 /// The parts of the control plane.
 pub struct PlaneParts {
@@ -100,13 +83,13 @@
 pub struct ControlPlane {
     pub(super) parts: PlaneParts,
     stopping: AtomicBool,
-    abandoned: AtomicBool,
+    pub(super) abandoned: AtomicBool,
     was_ready: AtomicBool,
     was_stale: AtomicBool,
-    shares: Mutex<ShareHolder>,
-    reports: Mutex<Vec<ManifestReport>>,
-    reported: Notify,
-    renew_now: Arc<Notify>,
+    pub(super) shares: Mutex<ShareHolder>,
+    pub(super) reports: Mutex<Vec<ManifestReport>>,
+    pub(super) reported: Notify,
+    pub(super) renew_now: Arc<Notify>,
 }
 
 impl ControlPlane {
@@ -137,22 +120,6 @@
         self.tell_fleet();
     }
 
-    /// Closes every connection to targets and gives the lease on shares back, so that others can
-    /// use them at once.
-    pub async fn release_shares(&self) {
-        self.parts.gossip.visit_caps(|_, address, _| {
-            // Requests are over by now; what is still open is idle.
-            (self.parts.limit_connections)(address, 0);
-        });
-        let share = self.shares.lock().begin_release();
-        let request = ControlRequest::Renew(self.parts.state.renew_request(share));
-        let asked = self.parts.group.ask(&request, ProposeMode::Idempotent, RELEASE_TIMEOUT).await;
-        if let Err(error) = asked {
-            warn!(self.parts.log, "config: the lease on shares runs out by itself";
-                "error" => %error);
-        }
-    }
-
     /// Renews the proof of being current until the task is dropped.
     pub async fn run_renewals(self: Arc<Self>) {
         loop {
@@ -205,69 +172,6 @@
         self.tell_fleet();
     }
 
-    fn take_grant(&self, grant: ShareGrant, sent_at: Timestamp) {
-        let now = self.parts.clock.now();
-        let mut shares = self.shares.lock();
-        let before = shares.usable_epoch();
-        shares.handle_grant(grant, sent_at, now);
-        let usable = shares.usable_epoch();
-        drop(shares);
-        if usable != before {
-            let epoch = usable.map_or("none".to_owned(), |epoch| epoch.to_string());
-            let detail = format!("shares of holder epoch {epoch} are in use");
-            self.parts.timeline.record(EventKind::ShareChanged, None, detail);
-        }
-    }
-
-    /// Closes connections above the shares and confirms the epoch that is kept to.
-    fn keep_shares(&self) {
-        let now = self.parts.clock.now();
-        let shares = self.shares.lock();
-        let phase = shares.lease_phase(now);
-        let mut kept = true;
-        self.parts.gossip.visit_caps(|target, address, cap| {
-            let limit = match phase {
-                LeasePhase::Held => shares.connection_share(target, self.tier_cap(cap), now),
-                LeasePhase::Closing | LeasePhase::Expired => {
-                    shares.open_limit(target, self.tier_cap(cap), now)
-                }
-            };
-            kept &= (self.parts.limit_connections)(address, limit);
-        });
-        let unconfirmed = shares.unconfirmed_epoch();
-        drop(shares);
-        if let Some(epoch) = unconfirmed.filter(|_| kept) {
-            self.shares.lock().confirm_epoch(epoch, now);
-            self.renew_now.notify_one();
-        }
-    }
-
-    /// Returns the connections of a cap that the tier may use.
-    fn tier_cap(&self, cap: u32) -> u32 {
-        let share = self.parts.state.settings().connection_share;
-        ((f64::from(cap) * share).floor() as u32).max(1)
-    }
-
-    /// Ends the claims that an earlier start of this instance left open, once.
-    fn abandon_old_claims(&self) {
-        if self.abandoned.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let command = LedgerCommand::AbandonClaims(ClaimAbandon {
-            instance: self.parts.instance.clone(),
-            before_incarnation: self.parts.incarnation,
-            wall: self.parts.clock.wall(),
-        });
-        let group = Arc::clone(&self.parts.group);
-        let log = self.parts.log.clone();
-        tokio::spawn(async move {
-            let ended = group.propose(&command, ProposeMode::Idempotent, FINISH_TIMEOUT).await;
-            if let Err(error) = ended {
-                warn!(log, "claims: open claims of an earlier start remain"; "error" => %error);
-            }
-        });
-    }
-
     fn tell_fleet(&self) {
         let status = self.parts.member.as_ref().and_then(|member| member.view().status);
         let leader = status.and_then(|status| {
@@ -303,43 +207,6 @@
         self.parts.timeline.record(kind, None, detail);
     }
 
-    /// Proposes gathered manifest reports until the task is dropped.
-    pub async fn run_manifests(self: Arc<Self>) {
-        loop {
-            self.reported.notified().await;
-            tokio::time::sleep(MANIFEST_PERIOD).await;
-            let reports = std::mem::take(&mut *self.reports.lock());
-            let unrecorded = self.parts.state.manifests().unrecorded(&reports);
-            if unrecorded.is_empty() {
-                continue;
-            }
-            let command = LedgerCommand::RecordManifests(unrecorded);
-            let group = &self.parts.group;
-            let ended = group.propose(&command, ProposeMode::Idempotent, CLAIM_TIMEOUT).await;
-            match ended {
-                Ok(_) => self.renew_now.notify_one(),
-                // The next announcement of the target reports again.
-                Err(error) => {
-                    warn!(self.parts.log, "config: manifests were not recorded"; "error" => %error);
-                }
-            }
-        }
-    }
-
-    fn report_manifests(&self, announcement: &Announcement) {
-        let reports = ManifestReport::from_announcement(announcement);
-        let unrecorded = self.parts.state.manifests().unrecorded(&reports);
-        if unrecorded.is_empty() {
-            return;
-        }
-        let mut waiting = self.reports.lock();
-        if waiting.len() + unrecorded.len() <= MAX_WAITING_REPORTS {
-            waiting.extend(unrecorded);
-        }
-        drop(waiting);
-        self.reported.notify_one();
-    }
-
     /// Takes the announcement of a target.
     ///
     /// # Errors
@@ -415,134 +282,6 @@
     }
 }
 
-impl ClaimStore for ControlPlane {
-    fn begin_claim(&self, claim: ClaimRequest) -> BoxFuture<Result<ClaimDecision, ClaimError>> {
-        let group = Arc::clone(&self.parts.group);
-        Box::pin(async move {
-            let command = LedgerCommand::BeginClaim(claim);
-            // The nonce of the claim makes a second copy harmless.
-            let reply = group.propose(&command, ProposeMode::Idempotent, CLAIM_TIMEOUT).await?;
-            match reply {
-                LedgerReply::Claim(ClaimReply::Decided(decision)) => Ok(decision),
-                _ => Err(ClaimError::NotProposed),
-            }
-        })
-    }
-
-    fn finish_claim(
-        &self,
-        request: RequestId,
-        digest: BodyDigest,
-        record: ActionRecord,
-    ) -> BoxFuture<Result<(), ClaimError>> {
-        let group = Arc::clone(&self.parts.group);
-        let wanted = record.outcome;
-        let command = LedgerCommand::FinishClaim(ClaimFinish {
-            request,
-            digest,
-            record,
-            instance: self.parts.instance.clone(),
-            incarnation: self.parts.incarnation,
-            wall: self.parts.clock.wall(),
-        });
-        Box::pin(async move {
-            let reply = group.propose(&command, ProposeMode::Idempotent, FINISH_TIMEOUT).await?;
-            match reply {
-                LedgerReply::Finish(FinishReply::Recorded) => Ok(()),
-                LedgerReply::Finish(FinishReply::EndedBefore(known)) => {
-                    // A resend of the same end is recorded; another end stands instead of this one.
-                    let same = known.outcome == wanted && wanted != ActionOutcome::Unknown;
-                    if same { Ok(()) } else { Err(ClaimError::Undecided) }
-                }
-                _ => Err(ClaimError::Undecided),
-            }
-        })
-    }
-
-    fn refuse_claim(
-        &self,
-        request: RequestId,
-        digest: BodyDigest,
-        reason: String,
-    ) -> BoxFuture<Result<(), ClaimError>> {
-        let group = Arc::clone(&self.parts.group);
-        let wall = self.parts.clock.wall();
-        let command = LedgerCommand::RefuseClaim(ClaimRefusal { request, digest, reason, wall });
-        Box::pin(async move {
-            let reply = group.propose(&command, ProposeMode::Idempotent, FINISH_TIMEOUT).await?;
-            match reply {
-                LedgerReply::Finish(FinishReply::Recorded) => Ok(()),
-                _ => Err(ClaimError::Undecided),
-            }
-        })
-    }
-}
-
-/// What the frames of other instances reach.
-struct HandlerParts {
-    gossip: Arc<GossipDriver>,
-    /// The member at this instance, if it has a disk.
-    member: Option<MemberHandle>,
-}
-
-/// Takes the frames of other instances; drops them until it is connected.
-#[derive(Default)]
-pub struct PlaneHandler {
-    parts: OnceLock<HandlerParts>,
-}
-
-impl PeerHandler for PlaneHandler {
-    fn handle_frame(&self, from: PeerSender, frame: PeerFrame) {
-        let Some(parts) = self.parts.get() else { return };
-        match frame.kind {
-            FrameKind::Membership => parts.gossip.take_membership(from.address, &frame.payload),
-            FrameKind::Directory => parts.gossip.take_directory(from.address, &frame.payload),
-            FrameKind::Quorum => parts.take_quorum(from, &frame),
-            FrameKind::Control | FrameKind::Events => {}
-        }
-    }
-
-    fn handle_call(
-        &self,
-        _from: PeerSender,
-        frame: PeerFrame,
-    ) -> BoxFuture<Result<PeerFrame, CallRefusal>> {
-        let member = self.parts.get().and_then(|parts| parts.member.clone());
-        Box::pin(async move {
-            if frame.kind != FrameKind::Control {
-                return Err(CallRefusal::UnknownKind);
-            }
-            let refuse = |reason: String| CallRefusal::Refused { reason };
-            let Some(member) = member else {
-                return Err(refuse("the instance has no disk".to_owned()));
-            };
-            let request: ControlRequest =
-                decode_payload(&frame.payload).map_err(|error| refuse(error.to_string()))?;
-            let reply = ask_member(&member, request).await;
-            let payload = encode_payload(&reply).map_err(|error| refuse(error.to_string()))?;
-            Ok(PeerFrame { kind: FrameKind::Control, payload })
-        })
-    }
-}
-
-impl PlaneHandler {
-    /// Connects the handler to the parts that frames reach.
-    pub fn connect(&self, gossip: Arc<GossipDriver>, member: Option<MemberHandle>) {
-        // A second call would change nothing: frames go where the first call sent them.
-        let _ = self.parts.set(HandlerParts { gossip, member });
-    }
-}
-
-impl HandlerParts {
-    fn take_quorum(&self, from: PeerSender, frame: &PeerFrame) {
-        let Some(member) = &self.member else { return };
-        if let Ok(message) = decode_payload(&frame.payload) {
-            // The log repeats what is lost here.
-            member.send(MemberInput::Message { from: from.id, message });
-        }
-    }
-}
-
 impl From<figglade::controller::directory::DirectoryError> for AnnounceError {
     fn from(error: figglade::controller::directory::DirectoryError) -> Self {
         use figglade::controller::directory::DirectoryError;
