Measure the idle cost without news left to spread

The first run of the case cost showed 14 to 16 KB/s and 31% of a core at 3 instances with 3,000 targets. The cause was the measurement: all targets had announced themselves seconds before, and gossip sends each piece of news a bounded number of times at a bounded rate, so it was still spreading.

The targets are now announced once to the first instance while it is alone; the others load the directory by anti-entropy, and the renewals start spread over the period that the tier asks for.

--- a/crates/figglade-bench/src/control/announcer.rs
+++ b/crates/figglade-bench/src/control/announcer.rs
@@ -6,6 +6,8 @@
 use serde_json::{Value, json};
 use tokio::{sync::Semaphore, task::JoinSet};
 
+use crate::cluster::BenchError;
+
 /// The announcements on their way at a time.
 const MAX_CONCURRENT: usize = 32;
 /// The wait before an announcement that failed is repeated.
@@ -13,27 +15,68 @@
 /// The replicas of each shard.
 const REPLICAS: usize = 3;
 
-/// Keeps announcing targets that do not run, each to one instance after another.
-#[derive(Debug, Default)]
+/// The announcements that one instance asks for in a second, which sets the period.
+const ANNOUNCEMENTS_PER_SECOND: f64 = 20.0;
+/// The shortest period.
+const MIN_PERIOD: Duration = Duration::from_secs(1);
+
+/// Targets that do not run; they are announced until this value is dropped.
+#[derive(Debug)]
 pub struct FakeTargets {
     tasks: JoinSet<()>,
-    count: usize,
 }
 
 impl FakeTargets {
-    /// Adds targets until there are `count` of one index with a third as many shards.
+    /// Announces `count` targets of one index, a third as many shards, once to one instance.
+    ///
+    /// # Errors
     ///
-    /// A partition epoch stands for each size, so that the shards of earlier ones do not mix.
-    pub fn grow(&mut self, count: usize, instances: &[SocketAddr]) {
+    /// Fails when an announcement is refused.
+    pub async fn announce_once(instance: SocketAddr, count: usize) -> Result<(), BenchError> {
+        let permits = Arc::new(Semaphore::new(MAX_CONCURRENT));
+        let client = TestClient::new();
+        let mut tasks = JoinSet::new();
+        for number in 0..count {
+            let (client, permits) = (client.clone(), Arc::clone(&permits));
+            tasks.spawn(async move {
+                let _permit = permits.acquire().await;
+                client.post(instance, "/v1/announce", &announce_body(number, count)).await
+            });
+        }
+        while let Some(task) = tasks.join_next().await {
+            let reply = task.map_err(std::io::Error::other)??;
+            if reply.status != 200 {
+                let seen = String::from_utf8_lossy(&reply.body).into_owned();
+                return Err(BenchError::Refused { seen });
+            }
+        }
+        Ok(())
+    }
+
+    /// Announces the same targets again and again, each to one instance after another; the first
+    /// announcements are spread over the period that the tier will ask for.
+    pub fn keep_announcing(instances: &[SocketAddr], count: usize) -> Self {
         let permits = Arc::new(Semaphore::new(MAX_CONCURRENT));
         let client = TestClient::new();
-        for number in self.count..count {
+        let seconds = count as f64 / (ANNOUNCEMENTS_PER_SECOND * instances.len() as f64);
+        let period = Duration::from_secs_f64(seconds).max(MIN_PERIOD);
+        let mut tasks = JoinSet::new();
+        for number in 0..count {
             let body = announce_body(number, count);
             let (client, permits) = (client.clone(), Arc::clone(&permits));
             let instances = instances.to_vec();
-            self.tasks.spawn(announce_forever(client, permits, instances, number, body));
+            let wait = period.mul_f64(number as f64 / count as f64);
+            tasks.spawn(async move {
+                tokio::time::sleep(wait).await;
+                announce_forever(client, permits, instances, number, body).await;
+            });
         }
-        self.count = self.count.max(count);
+        Self { tasks }
+    }
+
+    /// Stops the announcements.
+    pub async fn close(mut self) {
+        self.tasks.shutdown().await;
     }
 }
 
@@ -48,7 +91,7 @@
         "availability_zone": format!("zone-{}", number % 3),
         "slots": 3, "connections": 30, "state": "ready",
         "replicas": [{
-            "index": format!("register-{count}"), "shard": number % shards,
+            "index": "register-portal", "shard": number % shards,
             "shard_count": shards, "partition_epoch": 1,
             "versions": [{ "version": 1, "documents": 1_000 }],
         }],
--- a/crates/figglade-bench/src/control/cost.rs
+++ b/crates/figglade-bench/src/control/cost.rs
@@ -15,7 +15,7 @@
     pub instances: Vec<usize>,
     /// The numbers of targets, rising.
     pub targets: Vec<usize>,
-    /// The time between the spread of the targets and the measurement.
+    /// The time between the load of the directory and the measurement.
     pub settle: Duration,
     /// The measured time.
     pub measured: Duration,
@@ -34,16 +34,19 @@
         "load",
     ]);
     for instances in &options.instances {
-        let mut fleet = ControlFleet::start(*instances).await?;
-        let mut targets = FakeTargets::default();
         for count in &options.targets {
-            targets.grow(*count, &fleet.addresses());
+            // The others load the directory from the first, so that no news is left to spread.
+            let mut fleet = ControlFleet::start_first(*instances).await?;
+            FakeTargets::announce_once(fleet.addresses()[0], *count).await?;
+            fleet.start_others()?;
+            let targets = FakeTargets::keep_announcing(&fleet.addresses(), *count);
+            fleet.wait_for_ready().await?;
             fleet.wait_for_targets(*count).await?;
             tokio::time::sleep(options.settle).await;
             measure_size(&mut fleet, *count, options, &mut table).await?;
+            targets.close().await;
+            fleet.harness.close().await;
         }
-        drop(targets);
-        fleet.harness.close().await;
     }
     Ok(table.text)
 }
--- a/crates/figglade-bench/src/control/fleet.rs
+++ b/crates/figglade-bench/src/control/fleet.rs
@@ -39,14 +39,38 @@
 impl ControlFleet {
     /// Starts `instances` instances and waits until each is ready.
     pub(super) async fn start(instances: usize) -> Result<Self, BenchError> {
-        let options = HarnessOptions {
-            log_level: "warn".to_owned(),
-            ..HarnessOptions::new(find_program("figgladed")?, instances)
-        };
-        let harness = ProcessHarness::start(options, STATE_TIMEOUT).await?;
+        let harness = ProcessHarness::start(fleet_options(instances)?, STATE_TIMEOUT).await?;
         Ok(Self { harness, version: 0 })
     }
 
+    /// Starts the first of `instances` instances and waits until it answers.
+    pub(super) async fn start_first(instances: usize) -> Result<Self, BenchError> {
+        let mut harness = ProcessHarness::prepare(fleet_options(instances)?)?;
+        harness.start_instance(0)?;
+        let fleet = Self { harness, version: 0 };
+        let deadline = Instant::now() + STATE_TIMEOUT;
+        while fleet.scrape(0).await.is_err() {
+            fleet.pause("the first instance", deadline).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts all instances but the first.
+    pub(super) fn start_others(&mut self) -> Result<(), BenchError> {
+        for number in 1..self.harness.instance_count() {
+            self.harness.start_instance(number)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every instance is ready.
+    pub(super) async fn wait_for_ready(&mut self) -> Result<(), BenchError> {
+        for number in 0..self.harness.instance_count() {
+            self.harness.wait_ready(number, STATE_TIMEOUT).await?;
+        }
+        Ok(())
+    }
+
     /// Puts a configuration with these defaults through an instance and returns its version.
     pub(super) async fn put_defaults(
         &mut self,
@@ -147,6 +171,14 @@
     }
 }
 
+/// Describes instances that log little.
+fn fleet_options(instances: usize) -> Result<HarnessOptions, BenchError> {
+    Ok(HarnessOptions {
+        log_level: "warn".to_owned(),
+        ..HarnessOptions::new(find_program("figgladed")?, instances)
+    })
+}
+
 /// Returns the load of the machine over the last minute, as it is shown beside figures.
 pub(super) fn machine_load() -> String {
     let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
