Give probes a budget of their own and judge no replica by one answer

At 200 shards and 18 queries a second the tier's extra load was at its cap of 2% without a fault, and with one slow replica its slowest query took 955 ms against 204 ms. Estimates that rested on one or two exponential answers made many replicas look slow; each was probed at the cost of the hedge budget, which was then missing where a hedge was needed, and none of them was hedged on.

--- a/crates/figglade/src/filter/fanout/attempts.rs
+++ b/crates/figglade/src/filter/fanout/attempts.rs
@@ -229,7 +229,7 @@
         now: Timestamp,
         actions: &mut Vec<FanoutAction>,
     ) {
-        let may_spend = || self.tools.hedges.withdraw();
+        let may_spend = || self.tools.probes.withdraw();
         let scope = self.pick_scope(slot, None);
         let claimed = self.tools.picker.claim_probe(&scope, now, may_spend).map(Arc::clone);
         let Some(route) = claimed else { return };
--- a/crates/figglade/src/filter/fanout/mod.rs
+++ b/crates/figglade/src/filter/fanout/mod.rs
@@ -43,8 +43,10 @@
 pub struct FanoutTools {
     /// Chooses replicas.
     pub picker: ReplicaPicker,
-    /// Bounds hedges, and probes of slow replicas.
+    /// Bounds hedges.
     pub hedges: AttemptBudget,
+    /// Bounds probes of slow replicas.
+    pub probes: AttemptBudget,
     /// Bounds retries.
     pub retries: AttemptBudget,
     /// Follows the latency of shards.
--- a/crates/figglade/src/filter/fanout/run.rs
+++ b/crates/figglade/src/filter/fanout/run.rs
@@ -19,6 +19,9 @@
     wire::{MissingReason, SearchReply},
 };
 
+/// The probes of slow replicas earned by each first attempt.
+const PROBE_BUDGET: f64 = 0.002;
+
 /// The fan-out of one request over one pinned snapshot.
 #[derive(Debug)]
 pub struct FanoutRun {
@@ -97,6 +100,7 @@
         let count = self.slots.len() as u32;
         self.tools.hedges.deposit(count, self.policy.hedge_budget);
         self.tools.retries.deposit(count, self.policy.retry_budget);
+        self.tools.probes.deposit(count, PROBE_BUDGET);
         let mut actions = Vec::with_capacity(self.slots.len());
         for slot in 0..self.slots.len() {
             if self.send_attempt(slot, AttemptKind::First, now, rng, &mut actions) {
--- a/crates/figglade/src/filter/load.rs
+++ b/crates/figglade/src/filter/load.rs
@@ -76,6 +76,7 @@
 struct LoadState {
     in_flight: u32,
     latency_ms: Option<f64>,
+    samples: u32,
     sampled_at: Timestamp,
     failures: u32,
     ejections: u32,
@@ -104,6 +105,8 @@
     pub in_flight: u32,
     /// The estimated latency, in milliseconds; `None` before the first answer.
     pub latency_ms: Option<f64>,
+    /// The answers that the estimate rests on.
+    pub samples: u32,
     /// Whether the target is ejected or has not answered since.
     pub ejected: bool,
     /// Whether the target answered that it is draining.
@@ -119,6 +122,7 @@
         LoadView {
             in_flight: state.in_flight,
             latency_ms: state.latency_ms,
+            samples: state.samples,
             ejected: state.ejected_until.is_some(),
             draining: now < state.draining_until,
             shedding: now < state.shedding_until,
@@ -222,6 +226,9 @@
     fn take_answer(&mut self, elapsed: Duration, now: Timestamp, weight: f64) -> TargetChange {
         let sample = elapsed.as_secs_f64() * 1_000.0;
         let estimate = self.latency_ms.unwrap_or(sample);
+        self.samples = self.samples.saturating_add(1);
+        // The first samples count alike, so that the very first one does not linger.
+        let weight = weight.max(1.0 / f64::from(self.samples));
         self.latency_ms = Some(estimate + weight * (sample - estimate));
         self.sampled_at = now;
         self.failures = 0;
--- a/crates/figglade/src/filter/picker.rs
+++ b/crates/figglade/src/filter/picker.rs
@@ -27,7 +27,9 @@
 /// How much worse a target that has just started scores.
 const COLD_START_FACTOR: f64 = 4.0;
 /// How many times the latency of the best replica makes a replica slow.
-const SLOW_FACTOR: f64 = 2.0;
+const SLOW_FACTOR: f64 = 3.0;
+/// The answers before which an estimate shows nothing about a replica.
+const SLOW_SAMPLES: u32 = 5;
 /// The difference to the best replica below which none counts as slow, in milliseconds.
 const SLOW_MARGIN_MS: f64 = 2.0;
 /// How long an ejection counts against the cap after it turned half-open without a probe.
@@ -245,5 +247,5 @@
 /// Returns whether a replica is far slower than the best one.
 fn is_slow(view: &LoadView, best: Option<f64>) -> bool {
     let Some((latency, best)) = view.latency_ms.zip(best) else { return false };
-    latency > best + SLOW_MARGIN_MS && latency > best * SLOW_FACTOR
+    view.samples >= SLOW_SAMPLES && latency > best + SLOW_MARGIN_MS && latency > best * SLOW_FACTOR
 }
--- a/crates/figglade/tests/filter_support/mod.rs
+++ b/crates/figglade/tests/filter_support/mod.rs
@@ -75,6 +75,7 @@
     Arc::new(FanoutTools {
         picker: picker(targets),
         hedges: AttemptBudget::default(),
+        probes: AttemptBudget::default(),
         retries: AttemptBudget::default(),
         latency: LatencyTracker::default(),
     })
--- a/crates/figgladed/src/tier/board.rs
+++ b/crates/figgladed/src/tier/board.rs
@@ -135,6 +135,7 @@
                 live: LiveTargets::default(),
             },
             hedges: AttemptBudget::default(),
+            probes: AttemptBudget::default(),
             retries: AttemptBudget::default(),
             latency: LatencyTracker::default(),
         }
