Name the probe state in the example

Cause: the tools of a fan-out gained the state of probes. Change: the example names it. Conclusion: none beyond the merge.

--- a/crates/figglade/examples/embed_fanout.rs
+++ b/crates/figglade/examples/embed_fanout.rs
@@ -151,6 +151,7 @@
         hedges: AttemptBudget::default(),
         retries: AttemptBudget::default(),
         latency: LatencyTracker::default(),
+        probes: Default::default(),
     }
 }
 
