Refuse at once without a share of a target, and close connections to lapsed targets

Cause: an attempt at a target without a share waited for a connection until the deadline of its request; idle connections to lapsed targets stayed open; the periodic check of shares raised the limit that the request path had set below the share. Change: a pool without a share refuses, so that another replica is tried; a lapse closes idle connections; the check only lowers. Conclusion: only a request raises what a pool may open.

--- a/crates/figglade/src/wire.rs
+++ b/crates/figglade/src/wire.rs
@@ -198,7 +198,7 @@
     /// The field the refusal is about.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub field: Option<String>,
-    /// What became of the request; refusals are always `not_run`.
+    /// What became of the request: `not_run` only where that is certain.
     pub outcome: ActionOutcome,
 }
 
--- a/crates/figgladed/src/control/gossip.rs
+++ b/crates/figgladed/src/control/gossip.rs
@@ -298,7 +298,7 @@
             EffectiveState::Lapsed => EventKind::TargetLapsed,
         };
         (self.parts.note)(kind, detail);
-        if state == EffectiveState::Gone {
+        if matches!(kind, EventKind::TargetGone | EventKind::TargetLapsed) {
             (self.parts.forget_target)(announcement.address);
         }
     }
--- a/crates/figgladed/src/target_client/mod.rs
+++ b/crates/figgladed/src/target_client/mod.rs
@@ -52,7 +52,7 @@
     /// Bounds the connections to `address` and returns whether no more are open.
     pub fn limit_connections(&self, address: SocketAddr, share: u32) -> bool {
         let Some(pool) = self.pools.lock().get(&address).cloned() else { return true };
-        pool.set_share(share);
+        pool.lower_share(share);
         pool.gauges().open <= u64::from(share)
     }
 
--- a/crates/figgladed/src/target_client/pool.rs
+++ b/crates/figgladed/src/target_client/pool.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Lowers the share; a higher one comes with the next request.
+    pub(super) fn lower_share(&self, share: u32) {
+        let held = self.state.lock().share;
+        self.set_share(share.min(held));
+    }
+
     pub(super) fn gauges(&self) -> PoolGauges {
         let state = self.state.lock();
         PoolGauges {
@@ -182,7 +188,8 @@
 
     fn take_turn(&self, bound: ReuseBound) -> PoolTurn {
         let mut state = self.state.lock();
-        if state.closed {
+        // Without a share nothing is ever released here; another replica must serve.
+        if state.closed || state.share == 0 {
             return PoolTurn::Refuse;
         }
         if let Some(idle) = state.pop_idle(bound) {
