Let the lapse period of a target grow with the directory

At 3 instances with 3,000 targets, 43 of them had lapsed although all renewed on time. Two instances had loaded the directory from a third: a watch took its deadline from the number of targets known when it began, which was small during the load, while targets are asked to announce every 50 s at 3,000.

Conclusion: loading a large directory lapses nobody who renews on time. When the fleet grows manifold within one period, the period still shrinks below what targets were told; that is left open.

--- a/crates/figglade/src/controller/directory/reconcile.rs
+++ b/crates/figglade/src/controller/directory/reconcile.rs
@@ -78,7 +78,7 @@
         }
         let watched = self.watches.watch(key);
         if watched.is_none_or(|watch| watch.incarnation != incarnation) {
-            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+            self.watches.restart(key, incarnation, now, self.lapse_timeout());
         }
     }
 
@@ -104,7 +104,7 @@
             self.turn_lapse(key, now);
         }
         if self.is_watcher(key) {
-            self.watches.restart(key, incarnation, now + self.lapse_timeout());
+            self.watches.restart(key, incarnation, now, self.lapse_timeout());
         }
     }
 
@@ -149,6 +149,13 @@
                 self.watch_if_chosen(key, now);
                 continue;
             }
+            // Targets are asked to announce less often as the directory grows, also those whose
+            // period began when it was small.
+            let period_end = watch.heard_at + self.lapse_timeout();
+            if watch.phase == WatchPhase::Heard && period_end > now {
+                self.watches.set(key, TargetWatch { deadline: period_end, ..watch });
+                continue;
+            }
             let others = self.other_watchers(key);
             let sent = match watch.phase {
                 _ if others.is_empty() => MAX_UNANSWERED,
--- a/crates/figglade/src/controller/directory/watches.rs
+++ b/crates/figglade/src/controller/directory/watches.rs
@@ -34,6 +34,8 @@
 pub(super) struct TargetWatch {
     /// The incarnation watched.
     pub(super) incarnation: Incarnation,
+    /// When the target was last heard of.
+    pub(super) heard_at: Timestamp,
     /// When the phase ends.
     pub(super) deadline: Timestamp,
     /// How far the target is on its way to lapse.
@@ -63,9 +65,17 @@
         self.earliest
     }
 
-    /// Starts the watch of a target or its next period.
-    pub(super) fn restart(&mut self, key: u64, incarnation: Incarnation, deadline: Timestamp) {
-        self.set(key, TargetWatch { incarnation, deadline, phase: WatchPhase::Heard });
+    /// Starts the watch of a target or its next period, which takes `period` from `now`.
+    pub(super) fn restart(
+        &mut self,
+        key: u64,
+        incarnation: Incarnation,
+        now: Timestamp,
+        period: Duration,
+    ) {
+        let deadline = now + period;
+        let phase = WatchPhase::Heard;
+        self.set(key, TargetWatch { incarnation, heard_at: now, deadline, phase });
     }
 
     /// Puts a watch in place.
--- a/crates/figglade/tests/directory_announce.rs
+++ b/crates/figglade/tests/directory_announce.rs
@@ -98,6 +98,22 @@
     assert_eq!(entry.announcement().replicas[0].versions[0].version.get(), 9);
 }
 
+#[test]
+fn a_period_that_began_in_a_small_directory_grows_with_it() {
+    let mut single = Single::new();
+    single.apply(announcement(1, 1, TargetState::Ready)).unwrap();
+    let before = single.directory.lapse_timeout();
+    for number in 2..602 {
+        single.apply(announcement(number, 1, TargetState::Ready)).unwrap();
+    }
+    let after = single.directory.lapse_timeout();
+    assert!(after > before * 5, "{after:?}");
+    single.wait(after - Duration::from_millis(1));
+    assert_eq!(single.state(1), EffectiveState::Ready);
+    single.wait(Duration::from_millis(1));
+    assert_eq!(single.state(1), EffectiveState::Lapsed);
+}
+
 #[test]
 fn a_silent_target_lapses_and_a_renewal_brings_it_back() {
     let mut single = Single::new();
