Announce targets of the control bench as starting

A profile named TcpStream::connect: instances keep connections to ready targets warm and tried to connect to targets that do not run, again each second.

The targets now say that they are starting, so that the rows hold what control costs and nothing of the request path. Conclusion: the figures of processor time before this change are not those of control.

--- a/crates/figglade-bench/src/control/announcer.rs
+++ b/crates/figglade-bench/src/control/announcer.rs
@@ -21,6 +21,8 @@
 const MIN_PERIOD: Duration = Duration::from_secs(1);
 
 /// Targets that do not run; they are announced until this value is dropped.
+///
+/// They say that they are starting, so that no instance opens connections to them.
 #[derive(Debug)]
 pub struct FakeTargets {
     tasks: JoinSet<()>,
@@ -89,7 +91,7 @@
         "target_id": format!("target-{number:05}"), "incarnation": 1,
         "address": format!("127.1.0.{host}:{port}"),
         "availability_zone": format!("zone-{}", number % 3),
-        "slots": 3, "connections": 30, "state": "ready",
+        "slots": 3, "connections": 30, "state": "starting",
         "replicas": [{
             "index": "register-portal", "shard": number % shards,
             "shard_count": shards, "partition_epoch": 1,
--- a/crates/figglade-bench/src/control/claims.rs
+++ b/crates/figglade-bench/src/control/claims.rs
@@ -61,7 +61,7 @@
         let count = targets.len();
         let program = find_program("figglade-stand-in")?;
         let process = StandInProcess::start("targets", &program, targets, dir.path()).await?;
-        fleet.wait_for_targets(count).await?;
+        fleet.wait_for_targets(count, "ready").await?;
         Ok(Self { process, _dir: dir })
     }
 
--- a/crates/figglade-bench/src/control/cost.rs
+++ b/crates/figglade-bench/src/control/cost.rs
@@ -41,7 +41,7 @@
             fleet.start_others()?;
             let targets = FakeTargets::keep_announcing(&fleet.addresses(), *count);
             fleet.wait_for_ready().await?;
-            fleet.wait_for_targets(*count).await?;
+            fleet.wait_for_targets(*count, "starting").await?;
             tokio::time::sleep(options.settle).await;
             measure_size(&mut fleet, *count, options, &mut table).await?;
             targets.close().await;
--- a/crates/figglade-bench/src/control/fleet.rs
+++ b/crates/figglade-bench/src/control/fleet.rs
@@ -108,13 +108,18 @@
         }
     }
 
-    /// Waits until every instance knows `targets` targets that take work.
-    pub(super) async fn wait_for_targets(&self, targets: usize) -> Result<(), BenchError> {
+    /// Waits until every instance knows `targets` targets in `state`.
+    pub(super) async fn wait_for_targets(
+        &self,
+        targets: usize,
+        state: &str,
+    ) -> Result<(), BenchError> {
         let deadline = Instant::now() + STATE_TIMEOUT;
-        for number in 0..self.harness.instance_count() {
+        for address in self.addresses() {
             loop {
-                let samples = self.scrape(number).await?;
-                if samples.get("figglade_targets_ready") == Some(&(targets as f64)) {
+                let reply = self.harness.client().get(address, "/v1/operator/status").await?;
+                let status: Value = reply.json()?;
+                if status["targets"][state].as_u64() == Some(targets as u64) {
                     break;
                 }
                 self.pause("the target directory", deadline).await?;
