Add the scenario runner and its first files

Scenario files had no runner yet. This adds one on datadriven to the test kit, with a proxy on every peer link.

--- a/crates/figglade-testkit/src/lib.rs
+++ b/crates/figglade-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod harness;
 pub mod proxy;
+pub mod scenario;
 pub mod stand_in;
 
 pub use crate::{
@@ -15,6 +16,7 @@
         StandInProcess,
     },
     proxy::{FaultProxy, ProxyDirection, ProxyFault},
+    scenario::run_scenario,
     stand_in::{
         AnswerFault, ControlChange, FleetSettings, IndexLayout, RanAction, RegisterData,
         ResetPoint, StandIn, StandInControl, StandInError, StandInFaults, StandInSettings,
