--- a/crates/figglade/tests/filter_support/mod.rs
+++ b/crates/figglade/tests/filter_support/mod.rs
@@ -9,7 +9,7 @@
         budget::AttemptBudget,
         fanout::{AttemptKind, FanoutAction, FanoutPolicy, FanoutRun, FanoutTools},
         latency::LatencyTracker,
-        picker::{EjectionCounter, ReplicaPicker},
+        picker::{EjectionCounter, LiveTargets, ReplicaPicker},
         routing::{SnapshotKey, SnapshotRoute, TargetRoute},
     },
     wire::{SearchHit, SearchReply},
@@ -56,6 +56,7 @@
         key: snapshot_key(7),
         replicas: (0..shards).map(|shard| replicas(shard, replica_count)).collect(),
         documents: vec![Some(DOCUMENTS); shards as usize],
+        least_slots: 3 * replica_count,
     })
 }
 
@@ -66,6 +67,7 @@
         zone: "svealand-a".parse().expect("a valid name"),
         cold_start: Duration::ZERO,
         ejections,
+        live: LiveTargets::default(),
     }
 }
 
--- a/crates/figgladed/src/tier/board.rs
+++ b/crates/figgladed/src/tier/board.rs
@@ -1,15 +1,19 @@
 //! What requests read: the routes and the settings of each index, in shards under their own locks.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use figglade::{
-    ConfigVersion, IndexName, ZoneName,
+    ConfigVersion, IndexName, TargetId, ZoneName,
     controller::fleet::FleetDefaults,
     filter::{
         budget::AttemptBudget,
         fanout::{FanoutPolicy, FanoutTools},
         latency::LatencyTracker,
-        picker::{EjectionCounter, LoadRegistry, ReplicaPicker},
+        picker::{EjectionCounter, LiveTargets, LoadRegistry, ReplicaPicker},
         routing::IndexRoute,
     },
 };
@@ -21,6 +25,8 @@
 /// One index as requests see it.
 #[derive(Clone, Debug)]
 pub struct IndexView {
+    /// The index.
+    pub index: IndexName,
     /// The replicas of its snapshots.
     pub route: Arc<IndexRoute>,
     /// The settings in force for it.
@@ -80,7 +86,7 @@
         let _guard = self.publishing.lock();
         let settings = self.settings.settings_of(index);
         let known = self.view(index);
-        let view = self.make_view(Arc::new(route), settings, known);
+        let view = self.make_view(index, Arc::new(route), settings, known);
         self.shard_of(index).write().insert(index.clone(), view);
     }
 
@@ -90,28 +96,34 @@
         for index in self.indexes() {
             let Some(known) = self.view(&index) else { continue };
             let settings = self.settings.settings_of(&index);
-            let view = self.make_view(Arc::clone(&known.route), settings, Some(known));
+            let view = self.make_view(&index, Arc::clone(&known.route), settings, Some(known));
             self.shard_of(&index).write().insert(index, view);
         }
     }
 
     fn make_view(
         &self,
+        index: &IndexName,
         route: Arc<IndexRoute>,
         settings: FleetDefaults,
         known: Option<IndexView>,
     ) -> IndexView {
-        let targets = count_targets(&route);
-        let kept = known.filter(|known| *known.settings == settings);
-        let (settings, tools) = match kept {
-            Some(known) => (known.settings, known.tools),
-            None => {
-                let tools = self.make_tools(&settings);
-                (Arc::new(settings), Arc::new(tools))
-            }
+        let targets = list_targets(&route);
+        let cold_start = |settings: &FleetDefaults| settings.cold_start_ms;
+        // What attempts showed outlives a change of settings, but for those built into the tools.
+        let kept =
+            known.as_ref().filter(|known| cold_start(&known.settings) == cold_start(&settings));
+        let tools = match kept {
+            Some(known) => Arc::clone(&known.tools),
+            None => Arc::new(self.make_tools(&settings)),
+        };
+        let settings = match known {
+            Some(known) if *known.settings == settings => known.settings,
+            _ => Arc::new(settings),
         };
-        tools.picker.ejections.set_targets(targets);
-        IndexView { route, settings, tools }
+        tools.picker.ejections.set_targets(targets.len() as u32);
+        tools.picker.live.set(targets);
+        IndexView { index: index.clone(), route, settings, tools }
     }
 
     fn make_tools(&self, settings: &FleetDefaults) -> FanoutTools {
@@ -120,6 +132,7 @@
                 zone: self.zone.clone(),
                 cold_start: Duration::from_millis(settings.cold_start_ms),
                 ejections: Arc::new(EjectionCounter::default()),
+                live: LiveTargets::default(),
             },
             hedges: AttemptBudget::default(),
             retries: AttemptBudget::default(),
@@ -145,14 +158,7 @@
     }
 }
 
-fn count_targets(route: &IndexRoute) -> u32 {
-    let mut targets: Vec<_> = route
-        .snapshots
-        .iter()
-        .flat_map(|snapshot| snapshot.replicas.iter().flatten())
-        .map(|route| &route.target)
-        .collect();
-    targets.sort();
-    targets.dedup();
-    targets.len() as u32
+fn list_targets(route: &IndexRoute) -> HashSet<TargetId> {
+    let replicas = route.snapshots.iter().flat_map(|snapshot| snapshot.replicas.iter().flatten());
+    replicas.map(|route| route.target.clone()).collect()
 }
