Name the advertised address in membership

With listen.advertise_peer set, frames carry the advertised address as their sender while the membership record carried the bound one. The directory takes an answer only from the address it asked, so no comparison ever ended and the instance stayed unready with 'the target directory is not loaded yet'; found by config_race_of_operators, whose instances all advertise a proxy.

Ruled out: the proxies, since a leader was elected and members saw each other alive.

--- a/crates/figgladed/src/runtime.rs
+++ b/crates/figgladed/src/runtime.rs
@@ -108,7 +108,9 @@
         let builder = InstanceBuilder::new(settings, log)?;
         let handler = Arc::new(PlaneHandler::default());
         let transport = builder.start_transport(Arc::clone(&handler)).await?;
-        let peer = transport.local_address();
+        // Peers know the sender of a frame by this address, so membership must name the same one.
+        let advertised = builder.settings.listen.advertise_peer;
+        let peer = advertised.unwrap_or_else(|| transport.local_address());
         let link = transport.handle();
         let member = builder.start_member(peer, &link)?;
         let handle = member.as_ref().map(ControlMember::handle);
