Give the scenarios a target key and their last expectations

Targets of another run announced themselves to a reused port: coverage_lost_shard once saw 11 ready targets and an index of 10 shards, and its own 2 shards never counted as covered. Each run now has a target key of its own, so that such announcements are refused.

--- a/crates/figglade-testkit/src/scenario/lifecycle.rs
+++ b/crates/figglade-testkit/src/scenario/lifecycle.rs
@@ -16,6 +16,9 @@
 /// The bound on starts and stops; it is reached only where something is broken.
 const START_PATIENCE: Duration = Duration::from_secs(60);
 
+/// The file with the key of the targets, in the folder of the run.
+pub(super) const TARGET_KEY_FILE: &str = "target.key";
+
 impl ScenarioWorld {
     /// `start instances=3 disks=3 [spare=1]`: starts instances; spare ones are prepared only.
     pub(super) async fn start_instances(
@@ -28,10 +31,14 @@
         let mut options = HarnessOptions::new(self.program.clone(), count);
         options.control_members = disks;
         let harness = ProcessHarness::prepare(options)?;
+        // Targets of another run that announce to a reused port must be refused.
+        let key_file = harness.dir().join(TARGET_KEY_FILE);
+        std::fs::write(&key_file, format!("{:032x}\n", rand::random::<u128>()))?;
         let peers: Vec<_> = (0..count).map(|number| harness.peer_address(number)).collect();
         self.switchboard = PeerSwitchboard::start(&peers).await?;
         for number in 0..count {
             harness.edit_settings(number, |table| self.advertise_links(table, number))?;
+            harness.edit_settings(number, |table| set_target_key(table, &key_file))?;
         }
         for number in count - spare..count {
             harness.edit_settings(number, |table| add_disk(table, &harness.data_dir(number)))?;
@@ -218,6 +225,13 @@
     }
 }
 
+/// Names the file with the key of the targets of this run.
+fn set_target_key(table: &mut toml::Table, file: &Path) {
+    let path = toml::Value::from(file.to_string_lossy().into_owned());
+    let keys = toml::Table::from_iter([("target".to_owned(), path)]);
+    table.insert("keys".to_owned(), toml::Value::Table(keys));
+}
+
 /// Gives a spare instance a disk, so that it can become a control member.
 fn add_disk(table: &mut toml::Table, data_dir: &Path) {
     if let Some(instance) = table.get_mut("instance").and_then(toml::Value::as_table_mut) {
--- a/crates/figglade-testkit/src/scenario/targets.rs
+++ b/crates/figglade-testkit/src/scenario/targets.rs
@@ -5,7 +5,7 @@
 use datadriven::TestCase;
 use figglade::{IndexName, IndexVersion, PartitionEpoch, ShardId, TargetId, wire::LoadReport};
 
-use super::{ScenarioError, world::ScenarioWorld};
+use super::{ScenarioError, lifecycle::TARGET_KEY_FILE, world::ScenarioWorld};
 use crate::stand_in::{
     AnswerFault, IndexLayout, ResetPoint, ServiceKind, ServiceTime, StandIn, StandInFaults,
 };
@@ -36,11 +36,13 @@
         };
         let mean_us = case.try_take_arg("service_us")?.unwrap_or(200);
         let addresses = self.harness()?.http_addresses();
+        let key_file = self.harness()?.dir().join(TARGET_KEY_FILE);
         let settings =
             layout.targets(&addresses).map_err(|error| ScenarioError::usage(error.to_string()))?;
         let mut targets = Vec::new();
         for mut settings in settings {
             settings.service_time = ServiceTime { kind: ServiceKind::Fixed, mean_us };
+            settings.target_key_file = Some(key_file.clone());
             let target = settings.target_id.clone();
             self.targets.insert(target.clone(), StandIn::start(settings).await?);
             targets.push(target);
@@ -129,8 +131,8 @@
         Ok(String::new())
     }
 
-    /// `searches target=NAME quiet=MS query=N index=NAME at=i1`: prints whether new searches
-    /// reached the target while `N` searches ran.
+    /// `searches target=NAME` with the arguments of `query`: prints the answers and whether any of
+    /// the searches reached the target.
     pub(super) async fn count_searches(
         &mut self,
         case: &mut TestCase,
