Let the background callers learn of a stop with a delay

With the drain wait and the turn to unready taken out of Instance's close, stop_under_load still passed, because each caller asked for readiness right before each search. A balancer looks seldom, so the callers now look once in 16 searches. With the guard out the scenario now fails ('no answer'); both planned-stop scenarios pass with it in place.

--- a/crates/figglade-testkit/src/scenario/background.rs
+++ b/crates/figglade-testkit/src/scenario/background.rs
@@ -24,6 +24,9 @@
 /// How long a caller that finds no instance ready waits.
 const UNREADY_PAUSE: Duration = Duration::from_millis(10);
 
+/// The searches between two looks at readiness; a balancer, too, learns of a stop with a delay.
+const SEARCHES_PER_CHECK: usize = 16;
+
 /// The searches that must have ended before a load counts as running.
 const WARM_UP_SEARCHES: u64 = 20;
 
@@ -94,16 +97,23 @@
                 tokio::time::sleep(UNREADY_PAUSE).await;
                 continue;
             };
-            let reply = self.client.post(address, "/v1/query", &self.body).await;
-            let shown = match reply.map_err(ScenarioError::from) {
-                Ok(reply) => describe_query(&reply).unwrap_or_else(|error| format!("{error}\n")),
-                Err(_) => "no answer\n".to_owned(),
-            };
-            *self.answers.lock().entry(shown).or_default() += 1;
-            self.ended.fetch_add(1, Ordering::Relaxed);
+            for _ in 0..SEARCHES_PER_CHECK {
+                self.search(address).await;
+            }
         }
     }
 
+    /// Runs one search and notes its answer.
+    async fn search(&self, address: SocketAddr) {
+        let reply = self.client.post(address, "/v1/query", &self.body).await;
+        let shown = match reply {
+            Ok(reply) => describe_query(&reply).unwrap_or_else(|error| format!("{error}\n")),
+            Err(_) => "no answer\n".to_owned(),
+        };
+        *self.answers.lock().entry(shown).or_default() += 1;
+        self.ended.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Returns the next instance that says it is ready.
     async fn find_ready(&mut self) -> Option<SocketAddr> {
         for _ in 0..self.addresses.len() {
