--- a/crates/figgladed/tests/scenario_files.rs
+++ b/crates/figgladed/tests/scenario_files.rs
@@ -61,7 +61,7 @@
 
 scenario_tests! {
     snapshot_version_flip_with_stalled_replica
-    snapshot_repartition_under_load
+    snapshot_repartition
     coverage_lost_shard
     coverage_outlives_every_instance
     answers_wrong_late_and_doubled
