Answer unknown where an identifier was used with another body

Cause: not_run speaks of the identifier, which may have run with the body it was used with first. Conclusion: every not_run is true of the identifier.

--- a/crates/figgladed/src/tier/error.rs
+++ b/crates/figgladed/src/tier/error.rs
@@ -162,6 +162,8 @@
         let outcome = match error {
             // The search ran in part, so it must not be reported as not run.
             TierError::CoverageTooLow { .. } => ActionOutcome::Unknown,
+            // The identifier may have run with the body that it was used with first.
+            TierError::RequestIdReused => ActionOutcome::Unknown,
             _ => ActionOutcome::NotRun,
         };
         Self { error, outcome }
