Say what a change of the control group waits for

Cause: with the quorum lost, a command of the control family waited up to ten minutes without a word. Change: it prints once each reason it waits for, and waits as well where no control member is reached for a while.

Conclusion: an operator sees why a command does not end.

--- a/crates/figglade-cli/src/config/except.rs
+++ b/crates/figglade-cli/src/config/except.rs
@@ -124,8 +124,8 @@
     scope: &FleetScope,
     key: &str,
 ) -> Option<(&'a Value, &'a str)> {
-    let within = exceptions.iter().filter(|exception| exception.scope == *scope);
-    within.filter_map(|exception| Some((exception.set.get(key)?, exception.reason.as_str()))).next()
+    let mut within = exceptions.iter().filter(|exception| exception.scope == *scope);
+    within.find_map(|exception| Some((exception.set.get(key)?, exception.reason.as_str())))
 }
 
 /// Checks the arguments without contact to the tier.
--- a/crates/figglade-cli/src/control/group.rs
+++ b/crates/figglade-cli/src/control/group.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     time::{Duration, Instant},
 };
 
@@ -41,7 +42,8 @@
     client: OperatorClient,
     give_up: Instant,
     timeout: Duration,
-    shown: RefCell<String>,
+    /// The lines of progress printed so far.
+    shown: RefCell<BTreeSet<String>>,
 }
 
 impl GroupClient {
@@ -59,8 +61,8 @@
     pub(super) async fn read(&self) -> Result<QuorumView, ControlError> {
         let members: MembersReply = self.client.get(MEMBERS_PATH).await?.decode()?;
         let mut best = members.control.clone();
-        if best.as_ref().is_some_and(|view| view.role == QuorumRole::Leader) {
-            return Ok(best.expect("it was just looked at"));
+        if let Some(view) = best.take_if(|view| view.role == QuorumRole::Leader) {
+            return Ok(view);
         }
         for member in members.live() {
             let Ok(reply) = self.client.send(member.http, &Call::get(MEMBERS_PATH)).await else {
@@ -93,8 +95,10 @@
                     self.send_change(&call).await?
                 }
                 Err(ControlError::Client(error)) if error.may_pass_elsewhere() => error.to_string(),
+                Err(error @ ControlError::NoControlMember) => error.to_string(),
                 Err(error) => return Err(error),
             };
+            self.show_once(format!("waiting: {last}"));
             if Instant::now() >= self.give_up {
                 let waited_ms = self.timeout.as_millis();
                 return Err(ControlError::TimedOut { waited_ms, last });
@@ -126,8 +130,12 @@
         let Some(id) = body.get("id").and_then(Value::as_str) else { return };
         let held = view.progress.iter().find(|(member, _)| member.as_str() == id);
         let Some((_, held)) = held else { return };
-        let line = format!("{id} holds {held} of {} entries", view.commit);
-        if self.shown.replace(line.clone()) != line {
+        self.show_once(format!("{id} holds {held} of {} entries", view.commit));
+    }
+
+    /// Prints a line of progress unless it was printed before.
+    fn show_once(&self, line: String) {
+        if self.shown.borrow_mut().insert(line.clone()) {
             eprintln!("{line}");
         }
     }
