Leave accepted changes out of what a command waits for

Cause: each accepted step of a change was printed as something waited for. Change: only refusals and failures that pass are printed. Conclusion: the progress names trouble only.

--- a/crates/figglade-cli/src/control/group.rs
+++ b/crates/figglade-cli/src/control/group.rs
@@ -21,6 +21,8 @@
 const MEMBERS_PATH: &str = "/v1/operator/members";
 /// The pause between two looks at the group.
 const POLL_PERIOD: Duration = Duration::from_millis(300);
+/// What was seen after a change entered the log.
+const ACCEPTED: &str = "the change was accepted";
 /// The refusals that pass by themselves, by words of their message. The last three contradict the
 /// group that was read, which was outdated then and is read again.
 const PASSING_REFUSALS: &[&str] = &[
@@ -98,7 +100,9 @@
                 Err(error @ ControlError::NoControlMember) => error.to_string(),
                 Err(error) => return Err(error),
             };
-            self.show_once(format!("waiting: {last}"));
+            if last != ACCEPTED {
+                self.show_once(format!("waiting: {last}"));
+            }
             if Instant::now() >= self.give_up {
                 let waited_ms = self.timeout.as_millis();
                 return Err(ControlError::TimedOut { waited_ms, last });
@@ -112,7 +116,7 @@
         let mut last = ClientError::NoAddress;
         for &address in self.client.addresses() {
             match self.client.send(address, call).await {
-                Ok(_) => return Ok("the change was accepted".to_owned()),
+                Ok(_) => return Ok(ACCEPTED.to_owned()),
                 // Surely not sent: another instance may take it.
                 Err(error @ ClientError::NotConnected { .. }) => last = error,
                 Err(error) if is_passing(&error) => return Ok(error.to_string()),
