Drop a second reading of the wall clock and a choice between equal limits

Cause: a read of the whole change found timeline::system_wall, a twin of ProcessClock::wall that nothing calls, and a match in keep_shares whose arms give what ShareHolder::open_limit gives in every phase of the lease. Change: the function is gone; keep_shares asks open_limit. Behaviour stays as it is. Conclusion: one reading of the wall clock in the daemon, and one limit for open connections.

--- a/crates/figgladed/src/control/shares.rs
+++ b/crates/figgladed/src/control/shares.rs
@@ -4,10 +4,7 @@
 
 use figglade::{
     Timestamp,
-    controller::{
-        event::EventKind,
-        share::{LeasePhase, ShareGrant},
-    },
+    controller::{event::EventKind, share::ShareGrant},
 };
 use slog::warn;
 
@@ -51,15 +48,9 @@
     pub(super) fn keep_shares(&self) {
         let now = self.parts.clock.now();
         let shares = self.shares.lock();
-        let phase = shares.lease_phase(now);
         let mut kept = true;
         self.parts.gossip.visit_caps(|target, address, cap| {
-            let limit = match phase {
-                LeasePhase::Held => shares.connection_share(target, self.tier_cap(cap), now),
-                LeasePhase::Closing | LeasePhase::Expired => {
-                    shares.open_limit(target, self.tier_cap(cap), now)
-                }
-            };
+            let limit = shares.open_limit(target, self.tier_cap(cap), now);
             kept &= (self.parts.limit_connections)(address, limit);
         });
         let unconfirmed = shares.unconfirmed_epoch();
--- a/crates/figgladed/src/timeline/mod.rs
+++ b/crates/figgladed/src/timeline/mod.rs
@@ -13,7 +13,6 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use derive_more::{Display, Error, From};
@@ -38,12 +37,6 @@
 /// Tells the wall time.
 pub type WallSource = Arc<dyn Fn() -> WallTime + Send + Sync>;
 
-/// Returns the wall time of the system.
-pub fn system_wall() -> WallTime {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    WallTime::from_millis(since_epoch.as_millis() as u64)
-}
-
 /// What a store is opened with.
 #[derive(Clone)]
 pub struct TimelineOptions {
