Keep the largest recent count of instances when bounds are shared

Every instance takes its part of the slack by the number of instances that its hub counts. A hub that is cut off is not heard by the others and its followers are not counted, and the count fell by a sixteenth with each word of a hub: after four seconds the parts were about a third too large.

Ruled out: a restart of instances within the window (the log has none before 25 s). It would add a second slack all the same, so an instance that may have run before now spends none of it in its first window.

Change: `controller::census::InstanceCensus` lets the largest count of the last 15 to 30 s hold; `BudgetRules::slack_from`.

--- a/crates/figglade/src/filter/scatter/budget.rs
+++ b/crates/figglade/src/filter/scatter/budget.rs
@@ -22,12 +22,16 @@
     pub slack: f64,
     /// The length of the window.
     pub window: Duration,
+    /// From when on the slack may be used: a process that was killed and started again does not
+    /// know how much of it its former life has just spent.
+    pub slack_from: Timestamp,
 }
 
 impl BudgetRules {
-    /// Builds the rules of one of `instances` that share `slack`.
+    /// Builds the rules of one of `instances` that share `slack`, in its first life.
     pub fn shared(ratio: f64, slack: f64, window: Duration, instances: usize) -> Self {
-        Self { ratio, slack: slack / instances.max(1) as f64, window }
+        let slack = slack / instances.max(1) as f64;
+        Self { ratio, slack, window, slack_from: Timestamp::ZERO }
     }
 }
 
@@ -58,7 +62,8 @@
             self.parts.iter().filter(is_recent).fold((0, 0), |(firsts, extras), part| {
                 (firsts + part.firsts, extras + part.extras)
             });
-        let allowed = SPENT_SHARE * (rules.ratio * f64::from(firsts) + rules.slack);
+        let slack = if now < rules.slack_from { 0.0 } else { rules.slack };
+        let allowed = SPENT_SHARE * (rules.ratio * f64::from(firsts) + slack);
         if f64::from(extras + 1) > allowed {
             return false;
         }
--- a/crates/figglade/tests/load_support/mod.rs
+++ b/crates/figglade/tests/load_support/mod.rs
@@ -183,6 +183,7 @@
             ratio: plan.extra_ratio,
             slack: plan.extra_slack,
             window: Duration::from_secs(10),
+            slack_from: Timestamp::ZERO,
         };
         let mut services = Vec::new();
         let mut targets = Vec::new();
--- a/crates/figglade/tests/scatter_rules.rs
+++ b/crates/figglade/tests/scatter_rules.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn the_budget_holds_in_every_window() {
-    let rules = BudgetRules { ratio: 0.2, slack: 4.0, window: WINDOW };
+    let rules = BudgetRules { ratio: 0.2, slack: 4.0, window: WINDOW, slack_from: Timestamp::ZERO };
     let mut budget = ExtraBudget::default();
     let mut spent = Vec::new();
     for step in 0..6_000_u64 {
@@ -60,6 +60,20 @@
     assert!(spent <= 6, "{spent}");
 }
 
+#[test]
+fn a_second_life_spends_no_slack_that_the_first_may_have_spent() {
+    let rules = BudgetRules::shared(0.2, 174.0, WINDOW, 1);
+    let mut first = ExtraBudget::default();
+    let before = (0..1_000).filter(|_| first.try_spend(&rules, at(20_000))).count();
+    // The process is killed and starts again at once, with a clock of its own.
+    let rules = BudgetRules { slack_from: Timestamp::ZERO + WINDOW, ..rules };
+    let mut second = ExtraBudget::default();
+    let spend = |budget: &mut ExtraBudget, now| budget.try_spend(&rules, at(now));
+    let after = (0..1_000).filter(|step| spend(&mut second, step * 9)).count();
+    assert!(before + after <= 174, "{before} before and {after} within the same window");
+    assert!(spend(&mut second, 10_000), "the slack is there again a window later");
+}
+
 #[test]
 fn subsets_keep_the_cap_of_every_target() {
     for (instances, cap) in [(91, 78), (67, 66), (10, 32), (300, 78), (40, 24)] {
@@ -112,7 +126,8 @@
 
 impl Bench {
     fn new(targets: usize) -> Self {
-        let rules = BudgetRules { ratio: 0.2, slack: 100.0, window: WINDOW };
+        let rules =
+            BudgetRules { ratio: 0.2, slack: 100.0, window: WINDOW, slack_from: Timestamp::ZERO };
         let service = Rc::new(ServiceState::new("desk".parse().unwrap(), rules));
         for number in 0..targets {
             let replica = ReplicaState::new(spec(&format!("t{number}"), true), 4);
@@ -199,7 +214,7 @@
 #[test]
 fn a_search_that_cannot_reach_its_least_shards_is_refused_before_anything_is_sent() {
     let mut bench = Bench::new(2);
-    let rules = BudgetRules { ratio: 0.2, slack: 1.0, window: WINDOW };
+    let rules = BudgetRules { ratio: 0.2, slack: 1.0, window: WINDOW, slack_from: Timestamp::ZERO };
     let empty = |number: usize| {
         let name = format!("empty-{number}").parse().unwrap();
         Rc::new(ServiceState::new(name, rules))
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -12,6 +12,7 @@
 use figglade::{
     InstanceId, ServiceName, Timestamp, ZoneName,
     controller::{
+        census::InstanceCensus,
         route_set::{CallerLimits, Destination, RouteSet, RouteSetVersion, RouteSpec, RouteTable},
         service_directory::{ServiceDirectory, TargetRecord},
     },
@@ -32,11 +33,6 @@
 
 /// The connections that a target of a service accepts of which no route set is known yet.
 const UNKNOWN_CAP: u32 = 16;
-/// The instances that are taken to share the targets until a hub has counted them.
-const UNCOUNTED_INSTANCES: usize = 64;
-/// The part by which the number of instances falls with each word of a hub: one that restarts
-/// counts few at first.
-const COUNT_FALL_DIVISOR: usize = 16;
 
 /// The rules that the settings of the instance give.
 #[derive(Clone, Debug, PartialEq)]
@@ -51,6 +47,8 @@
     pub extra_slack: f64,
     /// The length of that window.
     pub extra_window: Duration,
+    /// Whether the instance may have run before: its former life may have spent extra attempts.
+    pub has_former_life: bool,
 }
 
 /// The state of the data path; on one thread.
@@ -69,9 +67,7 @@
     directory: RefCell<ServiceDirectory>,
     /// How far each weighted service of a route is behind its part.
     balances: RefCell<HashMap<String, Vec<f64>>>,
-    instances: Cell<usize>,
-    /// Whether a hub has counted the instances.
-    is_counted: Cell<bool>,
+    census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
 }
 
@@ -99,8 +95,7 @@
             services: RefCell::default(),
             directory: RefCell::default(),
             balances: RefCell::default(),
-            instances: Cell::new(UNCOUNTED_INSTANCES),
-            is_counted: Cell::new(false),
+            census: RefCell::default(),
             is_current: Cell::new(false),
         }
     }
@@ -157,11 +152,11 @@
     /// route set here is the newest.
     pub fn note_standing(&self, instances: usize, is_current: bool) {
         self.note_current(is_current);
-        let held = self.instances.get();
-        let least =
-            if self.is_counted.replace(true) { held - held / COUNT_FALL_DIVISOR } else { 1 };
-        let instances = instances.max(least);
-        if self.instances.replace(instances) != instances {
+        let held = self.instances();
+        self.census.borrow_mut().take_count(instances, self.clock.now());
+        if self.instances() != held {
+            info!(self.log, "relay: the number of instances changed"; "former" => held,
+                "instances" => self.instances(), "counted" => instances);
             self.refresh_limits();
         }
     }
@@ -187,7 +182,7 @@
         let now = self.clock.now();
         self.pools.maintain(now);
         self.directory.borrow_mut().forget_ended(now);
-        if !self.is_counted.get() {
+        if !self.census.borrow().is_counted() {
             return;
         }
         for service in self.routed_services() {
@@ -264,10 +259,24 @@
         Rc::clone(held.or_insert_with(|| Rc::new(ServiceState::new(name.clone(), rules))))
     }
 
+    fn instances(&self) -> usize {
+        self.census.borrow().instances()
+    }
+
     fn budget_rules(&self) -> BudgetRules {
         let rules = &self.rules;
-        let instances = self.instances.get();
-        BudgetRules::shared(rules.extra_ratio, rules.extra_slack, rules.extra_window, instances)
+        let slack_from = if rules.has_former_life {
+            Timestamp::ZERO + rules.extra_window
+        } else {
+            Timestamp::ZERO
+        };
+        let shared = BudgetRules::shared(
+            rules.extra_ratio,
+            rules.extra_slack,
+            rules.extra_window,
+            self.instances(),
+        );
+        BudgetRules { slack_from, ..shared }
     }
 
     fn apply_record(&self, record: &TargetRecord, now: Timestamp) {
@@ -310,7 +319,7 @@
         let cap = spec.map_or(UNKNOWN_CAP, |spec| spec.max_connections);
         let replicas = service.replicas.borrow();
         let specs: Vec<_> = replicas.iter().map(|replica| &replica.spec).collect();
-        let plans = plan_connections(&self.rules.instance, &specs, cap, self.instances.get());
+        let plans = plan_connections(&self.rules.instance, &specs, cap, self.instances());
         for (replica, plan) in replicas.iter().zip(plans) {
             replica.connection_limit.set(plan.limit);
             replica.is_kept.set(plan.is_kept);
