--- a/crates/figglade/src/controller/mod.rs
+++ b/crates/figglade/src/controller/mod.rs
@@ -1,5 +1,6 @@
 //! State that outlives a request.
 
+pub mod aggregators;
 pub mod census;
 pub mod directory;
 pub mod event;
--- a/crates/figglade/src/controller/route_set/table.rs
+++ b/crates/figglade/src/controller/route_set/table.rs
@@ -13,6 +13,7 @@
     set: Arc<RouteSet>,
     hosts: HashMap<String, HashMap<String, usize>>,
     services: HashMap<ServiceName, usize>,
+    names: HashMap<String, usize>,
 }
 
 impl RouteTable {
@@ -22,9 +23,11 @@
         for (position, route) in set.routes.iter().enumerate() {
             hosts.entry(route.host.clone()).or_default().insert(route.prefix.clone(), position);
         }
+        let numbered = set.routes.iter().enumerate();
+        let names = numbered.map(|(position, route)| (route.name.clone(), position)).collect();
         let named = set.services.iter().enumerate();
         let services = named.map(|(position, spec)| (spec.name.clone(), position)).collect();
-        Self { set, hosts, services }
+        Self { set, hosts, services, names }
     }
 
     /// Returns a service.
@@ -32,6 +35,11 @@
         self.services.get(name).map(|&position| &self.set.services[position])
     }
 
+    /// Returns the position of the route with this name in the set.
+    pub fn find_named(&self, name: &str) -> Option<usize> {
+        self.names.get(name).copied()
+    }
+
     /// Returns the set.
     pub const fn set(&self) -> &Arc<RouteSet> {
         &self.set
--- a/crates/figglade/src/controller/route_set/types.rs
+++ b/crates/figglade/src/controller/route_set/types.rs
@@ -40,6 +40,23 @@
     pub destination: Destination,
 }
 
+impl RouteSpec {
+    /// Returns a digest of the shards of a search and of how it is answered; `None` where the
+    /// route leads to one target.
+    pub fn search_digest(&self) -> Option<u64> {
+        let Destination::Shards(plan) = &self.destination else { return None };
+        let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+        for service in &plan.services {
+            hasher.update(service.as_str().as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.update(&plan.top_records.to_le_bytes());
+        hasher.update(&plan.min_share.to_le_bytes());
+        hasher.update(&self.max_attempts.to_le_bytes());
+        Some(hasher.digest())
+    }
+}
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RepeatRule {
--- a/crates/figglade/src/filter/scatter/budget.rs
+++ b/crates/figglade/src/filter/scatter/budget.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::Timestamp;
+use crate::{Timestamp, filter::scatter::InstanceShare};
 
 /// The parts of a window that are counted apart.
 const WINDOW_PARTS: usize = 20;
@@ -28,9 +28,9 @@
 }
 
 impl BudgetRules {
-    /// Builds the rules of one of `instances` that share `slack`, in its first life.
-    pub fn shared(ratio: f64, slack: f64, window: Duration, instances: usize) -> Self {
-        let slack = slack / instances.max(1) as f64;
+    /// Builds the rules of an instance with its part of `slack`, in its first life.
+    pub fn shared(ratio: f64, slack: f64, window: Duration, share: &InstanceShare) -> Self {
+        let slack = slack * share.part();
         Self { ratio, slack, window, slack_from: Timestamp::ZERO }
     }
 }
--- a/crates/figglade/src/filter/scatter/choice.rs
+++ b/crates/figglade/src/filter/scatter/choice.rs
@@ -7,8 +7,9 @@
 use crate::{Timestamp, filter::scatter::ReplicaState};
 
 /// What a target in another availability zone costs beside its latency, in usual latencies: bytes
-/// between zones are paid for.
-const REMOTE_COST: f64 = 0.8;
+/// between zones are paid for, and a near target is in time until it is slower than the age at
+/// which its attempts are hedged.
+const REMOTE_COST: f64 = 1.3;
 /// What a target costs to which no connection is kept, in usual latencies.
 const UNKEPT_COST: f64 = 1.5;
 /// The spread of costs within which targets count as equal, in usual latencies.
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -8,15 +8,18 @@
 
 use crate::{Incarnation, TargetId, Timestamp};
 
-/// The weight of a new sample of slowness: two slow answers in a row outweigh the cost of another
-/// zone, one does not.
-const SLOWNESS_WEIGHT: f64 = 0.3;
-/// The weight of a new failure: one is enough to try other targets for a while.
-const FAILURE_WEIGHT: f64 = 0.4;
+/// The samples whose median is the slowness of a target: a pause, which is one sample, does not
+/// change it, three slow ones do.
+const SLOWNESS_SAMPLES: usize = 5;
+/// The shortest time between two samples; answers that come sooner belong to the sample before,
+/// which keeps the fastest of them. What waits for the end of a pause is answered together.
+const SAMPLE_SPACING: Duration = Duration::from_millis(100);
+/// The weight of a new failure: one turns away for half a second, two in a row for seconds.
+const FAILURE_WEIGHT: f64 = 0.25;
 /// The weight of a success in what is known of failures.
 const SUCCESS_WEIGHT: f64 = 0.15;
-/// The largest slowness that one sample shows, so that a short pause is soon forgotten.
-const MAX_SAMPLE: f64 = 3.0;
+/// The slowness that a refusal shows: the target is full.
+const REFUSAL_SAMPLE: f64 = 3.0;
 /// The time in which what was learned loses two thirds of its weight without new samples.
 const MEMORY: Duration = Duration::from_millis(4_000);
 /// The first time that a target which could not be reached is left out.
@@ -117,7 +120,9 @@
     next_number: Cell<u64>,
     open: RefCell<Vec<OpenAttempt>>,
     last_reply: Cell<Timestamp>,
-    slowness: Cell<f64>,
+    /// How many times the usual latency the last answers took, the oldest first.
+    samples: Cell<[f64; SLOWNESS_SAMPLES]>,
+    sampled_at: Cell<Timestamp>,
     failure: Cell<f64>,
     learned_at: Cell<Timestamp>,
     unreached: Cell<u32>,
@@ -138,7 +143,8 @@
             next_number: Cell::new(0),
             open: RefCell::default(),
             last_reply: Cell::default(),
-            slowness: Cell::new(1.0),
+            samples: Cell::new([1.0; SLOWNESS_SAMPLES]),
+            sampled_at: Cell::default(),
             failure: Cell::new(0.0),
             learned_at: Cell::default(),
             unreached: Cell::new(0),
@@ -182,9 +188,9 @@
             }
             AttemptEnd::Refused => {
                 self.note_reply(now);
-                self.learn(Some(MAX_SAMPLE), 0.0, now);
+                self.learn(Some(REFUSAL_SAMPLE), 0.0, now);
             }
-            AttemptEnd::TurnedAway => self.learn(Some(MAX_SAMPLE), 0.0, now),
+            AttemptEnd::TurnedAway => self.learn(Some(REFUSAL_SAMPLE), 0.0, now),
             AttemptEnd::Lost => self.learn(None, 1.0, now),
             AttemptEnd::NotSent => self.eject(now),
             AttemptEnd::Misdirected => self.is_usable.set(false),
@@ -230,7 +236,7 @@
     /// with a surcharge for failures.
     pub fn expected_cost(&self, now: Timestamp) -> f64 {
         let fade = self.fade(now);
-        let slowness = 1.0 + (self.slowness.get() - 1.0) * fade;
+        let slowness = 1.0 + (self.slowness() - 1.0) * fade;
         let cold = if now < self.warm_at.get() { COLD_FACTOR } else { 1.0 };
         let queue = self.in_flight() as f64 / f64::from(self.spec.slots.max(1));
         slowness.max(MIN_SLOWNESS) * cold * (1.0 + queue) + FAILURE_COST * self.failure.get() * fade
@@ -244,15 +250,31 @@
 
     fn learn(&self, ratio: Option<f64>, failure: f64, now: Timestamp) {
         let fade = self.fade(now);
-        let slowness = 1.0 + (self.slowness.get() - 1.0) * fade;
-        let sample = ratio.map_or(slowness, |ratio| ratio.min(MAX_SAMPLE));
-        self.slowness.set(slowness + SLOWNESS_WEIGHT * (sample - slowness));
+        let mut samples = self.samples.get().map(|sample| 1.0 + (sample - 1.0) * fade);
+        if let Some(ratio) = ratio {
+            let last = &mut samples[SLOWNESS_SAMPLES - 1];
+            if now.since(self.sampled_at.get()) < SAMPLE_SPACING {
+                *last = last.min(ratio);
+            } else {
+                samples.rotate_left(1);
+                samples[SLOWNESS_SAMPLES - 1] = ratio;
+                self.sampled_at.set(now);
+            }
+        }
+        self.samples.set(samples);
         let failed = self.failure.get() * fade;
         let weight = if failure > 0.0 { FAILURE_WEIGHT } else { SUCCESS_WEIGHT };
         self.failure.set(failed + weight * (failure - failed));
         self.learned_at.set(now);
     }
 
+    /// Returns the median of the last answers.
+    fn slowness(&self) -> f64 {
+        let mut samples = self.samples.get();
+        samples.sort_unstable_by(f64::total_cmp);
+        samples[SLOWNESS_SAMPLES / 2]
+    }
+
     /// Returns the weight that what was learned still has.
     fn fade(&self, now: Timestamp) -> f64 {
         let age = now.since(self.learned_at.get()).as_secs_f64();
--- a/crates/figglade/src/filter/scatter/run.rs
+++ b/crates/figglade/src/filter/scatter/run.rs
@@ -8,6 +8,7 @@
 
 use derive_more::Display;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use super::{
     budget::{BudgetRules, ExtraBudget},
@@ -121,7 +122,7 @@
 }
 
 /// Why a request has no answer.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display(rename_all = "snake_case")]
 pub enum FailureReason {
     /// No target was sent the request, or all that were did not run it.
@@ -165,6 +166,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SlotStatus {
     Open,
+    /// Another instance asks the service.
+    Outside,
     Answered,
     Missing(FailureReason),
 }
@@ -211,6 +214,43 @@
         Self { rules, profile, slots, attempts, answered: 0, open }
     }
 
+    /// Leaves services to another instance: nothing is sent to them here until it answers or
+    /// [`Self::take_back`] says otherwise.
+    pub fn leave_outside(&mut self, places: &[usize]) {
+        for &place in places {
+            self.slots[place].status = SlotStatus::Outside;
+        }
+    }
+
+    /// Takes the answer of the other instance, which covers all its services but some.
+    pub fn handle_outside(&mut self, missing: usize) {
+        let outside: Vec<_> = self.outside().collect();
+        let answered = outside.len().saturating_sub(missing);
+        for (number, slot) in outside.into_iter().enumerate() {
+            self.slots[slot].was_sent = true;
+            let is_answered = number < answered;
+            let missing = SlotStatus::Missing(FailureReason::Unknown);
+            self.close_slot(slot, if is_answered { SlotStatus::Answered } else { missing });
+        }
+    }
+
+    /// Sends the first attempts of the services that the other instance did not take.
+    pub fn take_back(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<ScatterAction> {
+        let mut actions = Vec::new();
+        let outside: Vec<_> = self.outside().collect();
+        for slot in outside {
+            self.slots[slot].status = SlotStatus::Open;
+            self.slots[slot].service.count_first(now);
+            self.send_first(slot, now, rng, &mut actions);
+        }
+        actions
+    }
+
+    fn outside(&self) -> impl Iterator<Item = usize> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter(|(_, slot)| slot.status == SlotStatus::Outside).map(|(place, _)| place)
+    }
+
     /// Returns the attempts made.
     pub const fn attempt_count(&self) -> usize {
         self.attempts.len()
@@ -234,8 +274,10 @@
             return actions;
         }
         for slot in 0..self.slots.len() {
-            self.slots[slot].service.count_first(now);
-            self.send_first(slot, now, rng, &mut actions);
+            if self.slots[slot].status == SlotStatus::Open {
+                self.slots[slot].service.count_first(now);
+                self.send_first(slot, now, rng, &mut actions);
+            }
         }
         actions
     }
@@ -315,7 +357,7 @@
     fn failure_reason(&self) -> FailureReason {
         let reasons = self.slots.iter().map(|slot| match slot.status {
             SlotStatus::Missing(reason) => reason,
-            SlotStatus::Answered => FailureReason::TimedOut,
+            SlotStatus::Answered | SlotStatus::Outside => FailureReason::TimedOut,
             SlotStatus::Open if slot.runs + slot.open_attempts == 0 => FailureReason::NotRun,
             SlotStatus::Open => FailureReason::TimedOut,
         });
--- a/crates/figglade/src/filter/scatter/subset.rs
+++ b/crates/figglade/src/filter/scatter/subset.rs
@@ -5,11 +5,14 @@
 //! instance and target ranks first, so that the connections spread evenly without a word between
 //! the instances.
 
-use crate::{InstanceId, filter::scatter::ReplicaSpec};
+use crate::{
+    InstanceId,
+    filter::scatter::{InstanceShare, ReplicaSpec},
+};
 
 /// The share of the connections of a target that the instances plan with; the rest covers
 /// connections that have ended on one side only, and those made on demand.
-const PLANNED_SHARE: f64 = 0.95;
+pub(super) const PLANNED_SHARE: f64 = 0.95;
 
 /// What an instance may do with one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,16 +25,16 @@
     pub ready: u32,
 }
 
-/// Plans the connections of `instance` to the targets of one service, of which each accepts `cap`
-/// connections from `instances` instances together.
+/// Plans the connections of `instance` to the targets of one service, each of which accepts `cap`
+/// connections from all instances together.
 pub fn plan_connections(
     instance: &InstanceId,
     targets: &[&ReplicaSpec],
     cap: u32,
-    instances: usize,
+    share: &InstanceShare,
 ) -> Vec<ConnectionPlan> {
-    let share = f64::from(cap) * PLANNED_SHARE / instances.max(1) as f64;
-    let whole = share as u32;
+    let part = f64::from(cap) * PLANNED_SHARE * share.part();
+    let whole = part as u32;
     if whole >= 1 {
         // Where connections are few, those to other zones would be idle most of the time and closed
         // by the targets; new ones are paid for.
@@ -42,13 +45,15 @@
         };
         return targets.iter().map(plan).collect();
     }
-    let kept = ((share * targets.len() as f64) as usize).clamp(1, targets.len().max(1));
+    // The few searches that an instance beside aggregators scatters make their connections.
+    let ready = u32::from(share.aggregators == 0);
+    let kept = ((part * targets.len() as f64) as usize).clamp(1, targets.len().max(1));
     let mut ranked: Vec<_> = (0..targets.len()).collect();
     ranked.sort_by_key(|place| rank_target(instance, targets[*place]));
     let mut plans = vec![ConnectionPlan { limit: 1, is_kept: false, ready: 0 }; targets.len()];
     for (rank, place) in ranked.into_iter().take(kept).enumerate() {
         plans[place].is_kept = true;
-        plans[place].ready = u32::from(rank == 0);
+        plans[place].ready = if rank == 0 { ready } else { 0 };
     }
     plans
 }
--- a/crates/figglade/src/ids.rs
+++ b/crates/figglade/src/ids.rs
@@ -149,6 +149,10 @@
     /// Numbers the route sets of an operator; the highest is in force.
     RouteSetVersion, u64
 }
+number_id! {
+    /// The processor time of an instance, in thousandths of a core.
+    CoreShare, u32
+}
 number_id! {
     /// Identifies one sending of one request to one target.
     AttemptId, u128
--- a/crates/figglade/src/peer.rs
+++ b/crates/figglade/src/peer.rs
@@ -23,6 +23,8 @@
     Events = 5,
     /// News of targets of services, route sets and hubs.
     Registry = 6,
+    /// A search that one instance scatters for another.
+    Search = 7,
 }
 
 impl FrameKind {
@@ -35,6 +37,7 @@
             4 => Some(Self::Control),
             5 => Some(Self::Events),
             6 => Some(Self::Registry),
+            7 => Some(Self::Search),
             _ => None,
         }
     }
--- a/crates/figglade/tests/scatter_rules.rs
+++ b/crates/figglade/tests/scatter_rules.rs
@@ -9,8 +9,8 @@
         ranked::merge_ranked,
         scatter::{
             AttemptEnd, BudgetRules, CoverageState, CutoffTimes, CutoffVerdict, ExtraBudget,
-            FailureReason, ReplicaSpec, ReplicaState, RouteProfile, ScatterAction, ScatterEnd,
-            ScatterRules, ScatterRun, ServiceState, decide_cutoff, plan_connections,
+            FailureReason, InstanceShare, ReplicaSpec, ReplicaState, RouteProfile, ScatterAction,
+            ScatterEnd, ScatterRules, ScatterRun, ServiceState, decide_cutoff, plan_connections,
         },
     },
 };
@@ -54,7 +54,7 @@
 
 #[test]
 fn a_service_without_traffic_has_only_its_part_of_the_slack() {
-    let rules = BudgetRules::shared(0.2, 60.0, WINDOW, 10);
+    let rules = BudgetRules::shared(0.2, 60.0, WINDOW, &InstanceShare::equal(10));
     let mut budget = ExtraBudget::default();
     let spent = (0..100).filter(|_| budget.try_spend(&rules, at(5_000))).count();
     assert!(spent <= 6, "{spent}");
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_second_life_spends_no_slack_that_the_first_may_have_spent() {
-    let rules = BudgetRules::shared(0.2, 174.0, WINDOW, 1);
+    let rules = BudgetRules::shared(0.2, 174.0, WINDOW, &InstanceShare::equal(1));
     let mut first = ExtraBudget::default();
     let before = (0..1_000).filter(|_| first.try_spend(&rules, at(20_000))).count();
     // The process is killed and starts again at once, with a clock of its own.
@@ -78,6 +78,7 @@
 fn subsets_keep_the_cap_of_every_target() {
     for (instances, cap) in [(91, 78), (67, 66), (10, 32), (300, 78), (40, 24)] {
         let zones = 4;
+        let share = InstanceShare::equal(instances);
         let mut held = [0; 12];
         for number in 0..instances {
             let instance = format!("edge-{number}").parse().unwrap();
@@ -90,7 +91,7 @@
                     })
                     .collect();
                 let specs: Vec<_> = specs.iter().collect();
-                let plans = plan_connections(&instance, &specs, cap, instances);
+                let plans = plan_connections(&instance, &specs, cap, &share);
                 assert!(plans.iter().any(|plan| plan.is_kept));
                 for (copy, plan) in plans.iter().enumerate() {
                     held[service * 3 + copy] += if plan.is_kept { plan.limit } else { 0 };
@@ -126,9 +127,13 @@
 
 impl Bench {
     fn new(targets: usize) -> Self {
+        Self::named("desk", targets)
+    }
+
+    fn named(name: &str, targets: usize) -> Self {
         let rules =
             BudgetRules { ratio: 0.2, slack: 100.0, window: WINDOW, slack_from: Timestamp::ZERO };
-        let service = Rc::new(ServiceState::new("desk".parse().unwrap(), rules));
+        let service = Rc::new(ServiceState::new(name.parse().unwrap(), rules));
         for number in 0..targets {
             let replica = ReplicaState::new(spec(&format!("t{number}"), true), 4);
             service.replicas.borrow_mut().push(Rc::new(replica));
@@ -309,3 +314,61 @@
     assert_eq!(merge_ranked([&one[..]].into_iter(), 10).len(), 48);
     assert!(merge_ranked([&one[..]].into_iter(), 0).is_empty());
 }
+
+/// Builds a run over four services of two targets each, of which `least` must answer.
+fn wide_run(least: usize) -> ScatterRun {
+    let services =
+        (0..4).map(|number| Rc::clone(&Bench::named(&format!("shard-{number}"), 2).service));
+    let rules = ScatterRules {
+        repeat: RepeatRule::Idempotent,
+        max_attempts: 2,
+        least_answers: least,
+        times: CutoffTimes { goal: at(100), deadline: at(1_000) },
+        wait_until: at(50),
+    };
+    ScatterRun::new(rules, services, Rc::new(RouteProfile::new(Duration::from_millis(100))))
+}
+
+#[test]
+fn services_left_to_another_instance_are_not_asked_and_count_with_its_answer() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut run = wide_run(3);
+    run.leave_outside(&[1, 3]);
+    let started = run.start(at(0), &mut rng);
+    let slots: Vec<_> = started.iter().map(|ScatterAction::Send { slot, .. }| *slot).collect();
+    assert_eq!(slots, [0, 2]);
+    let mut actions = Vec::new();
+    for attempt in 0..2 {
+        run.handle_end(attempt, AttemptEnd::Answered, at(10), &mut rng, &mut actions);
+    }
+    assert_eq!(run.end(at(10)), None, "the other instance has not answered");
+    assert_eq!(run.next_timer(at(10)), at(100));
+    run.handle_outside(1);
+    assert_eq!(run.end(at(20)), Some(ScatterEnd::Answered { missing: 1 }));
+}
+
+#[test]
+fn a_lost_part_leaves_the_outcome_unknown() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut run = wide_run(3);
+    run.leave_outside(&[1, 3]);
+    run.start(at(0), &mut rng);
+    run.handle_outside(usize::MAX);
+    assert_eq!(run.end(at(20)), Some(ScatterEnd::Failed(FailureReason::Unknown)));
+}
+
+#[test]
+fn services_that_the_other_instance_did_not_take_are_asked_here() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut run = wide_run(4);
+    run.leave_outside(&[1, 3]);
+    run.start(at(0), &mut rng);
+    let taken = run.take_back(at(20), &mut rng);
+    let slots: Vec<_> = taken.iter().map(|ScatterAction::Send { slot, .. }| *slot).collect();
+    assert_eq!(slots, [1, 3]);
+    let mut actions = Vec::new();
+    for attempt in 0..4 {
+        run.handle_end(attempt, AttemptEnd::Answered, at(30), &mut rng, &mut actions);
+    }
+    assert_eq!(run.end(at(30)), Some(ScatterEnd::Answered { missing: 0 }));
+}
--- a/crates/figgladed/src/control/handler.rs
+++ b/crates/figgladed/src/control/handler.rs
@@ -35,7 +35,7 @@
             FrameKind::Membership => parts.gossip.take_membership(from.address, &frame.payload),
             FrameKind::Directory => parts.gossip.take_directory(from.address, &frame.payload),
             FrameKind::Quorum => parts.take_quorum(from, &frame),
-            FrameKind::Control | FrameKind::Events | FrameKind::Registry => {}
+            FrameKind::Control | FrameKind::Events | FrameKind::Registry | FrameKind::Search => {}
         }
     }
 
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -98,6 +98,9 @@
             routes: self.edge.route_version(),
             is_new,
             is_probe: false,
+            zone: Some(self.edge.zone().clone()),
+            cores: self.edge.cores(),
+            aggregators: self.edge.aggregators().borrow().digest(),
         };
         let others = self.chooser.borrow_mut().ask_others(now);
         for other in others {
@@ -133,6 +136,7 @@
             chooser.learn_hubs(standing.hubs.into_iter());
             chooser.take_word(from, is_trusted, now);
         }
+        self.edge.adopt_aggregators(standing.aggregators);
         self.edge.note_standing(standing.followers as usize, standing.is_current);
         self.compare_digests(from, standing.digest, now);
     }
--- a/crates/figgladed/src/hub/frames.rs
+++ b/crates/figgladed/src/hub/frames.rs
@@ -13,6 +13,7 @@
 use crate::{
     control::{ControlRequest, MemberHandle, MemberInput, ask_member},
     peer_link::{CallRefusal, PeerHandler, PeerSender},
+    relay::SearchInput,
 };
 
 /// A message of another process.
@@ -31,12 +32,18 @@
     inputs: mpsc::Sender<HubInput>,
     /// The member of the control group in this process, once it runs.
     member: Arc<OnceLock<MemberHandle>>,
+    /// Takes searches, where the process scatters them for others.
+    searches: Option<mpsc::Sender<SearchInput>>,
 }
 
 impl HubHandler {
     /// Builds a handler that hands messages to `inputs`.
-    pub fn new(inputs: mpsc::Sender<HubInput>, member: Arc<OnceLock<MemberHandle>>) -> Self {
-        Self { inputs, member }
+    pub const fn new(
+        inputs: mpsc::Sender<HubInput>,
+        member: Arc<OnceLock<MemberHandle>>,
+        searches: Option<mpsc::Sender<SearchInput>>,
+    ) -> Self {
+        Self { inputs, member, searches }
     }
 
     fn take_quorum(&self, from: PeerSender, frame: &PeerFrame) {
@@ -61,7 +68,8 @@
             FrameKind::Membership
             | FrameKind::Directory
             | FrameKind::Control
-            | FrameKind::Events => {}
+            | FrameKind::Events
+            | FrameKind::Search => {}
         }
     }
 
@@ -72,10 +80,12 @@
     ) -> BoxFuture<Result<PeerFrame, CallRefusal>> {
         let inputs = self.inputs.clone();
         let member = self.member.get().cloned();
+        let searches = self.searches.clone();
         Box::pin(async move {
             match frame.kind {
                 FrameKind::Control => answer_control(member, &frame).await,
                 FrameKind::Registry => take_registry(&inputs, from, &frame).await,
+                FrameKind::Search => take_search(searches, from, &frame).await,
                 _ => Err(CallRefusal::UnknownKind),
             }
         })
@@ -106,6 +116,20 @@
     Ok(PeerFrame { kind: FrameKind::Registry, payload: Bytes::new() })
 }
 
+async fn take_search(
+    searches: Option<mpsc::Sender<SearchInput>>,
+    from: PeerSender,
+    frame: &PeerFrame,
+) -> Result<PeerFrame, CallRefusal> {
+    let searches = searches.ok_or(CallRefusal::UnknownKind)?;
+    let message = decode_payload(&frame.payload).map_err(refuse)?;
+    let (reply, answer) = oneshot::channel();
+    let input = SearchInput { from, message, reply };
+    searches.try_send(input).map_err(|_| CallRefusal::Busy)?;
+    let answer = answer.await.map_err(|_| refuse("the process is stopping"))?;
+    answer.to_frame().map_err(refuse)
+}
+
 fn refuse(reason: impl ToString) -> CallRefusal {
     CallRefusal::Refused { reason: reason.to_string() }
 }
--- a/crates/figgladed/src/hub/message.rs
+++ b/crates/figgladed/src/hub/message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use figglade::{
-    InstanceId, ZoneName,
+    CoreShare, InstanceId, ZoneName,
     controller::{
+        aggregators::{AggregatorAddress, ZoneMembers},
         group_keeper::JoinRequest,
         hub_chooser::HubAddress,
         route_set::{RouteDocument, RouteSetVersion},
@@ -40,6 +41,12 @@
     pub is_new: bool,
     /// Whether it only wants to know how the hub stands, and a newer route set.
     pub is_probe: bool,
+    /// Its availability zone.
+    pub zone: Option<ZoneName>,
+    /// The processor time that it has.
+    pub cores: CoreShare,
+    /// The digest of the aggregators that it knows.
+    pub aggregators: u64,
 }
 
 /// How a hub stands.
@@ -55,6 +62,8 @@
     pub hubs: Vec<HubAddress>,
     /// The instances that follow any hub.
     pub followers: u32,
+    /// The aggregators, where the follower knows others.
+    pub aggregators: Vec<AggregatorAddress>,
 }
 
 /// What a hub tells the others.
@@ -82,6 +91,8 @@
     pub is_current: bool,
     /// The other hubs that it heard from lately.
     pub hubs: Vec<SocketAddr>,
+    /// The instances that follow it, by zone.
+    pub members: Vec<ZoneMembers>,
 }
 
 impl HubMessage {
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -5,7 +5,8 @@
 use figglade::{
     Timestamp,
     controller::{
-        hub_chooser::HubAddress, route_set::RouteDocument, service_directory::TargetRecord,
+        aggregators::digest_aggregators, hub_chooser::HubAddress, route_set::RouteDocument,
+        service_directory::TargetRecord,
     },
 };
 
@@ -41,12 +42,13 @@
             if let Some(routes) = routes.filter(|_| is_behind) {
                 self.send(from, HubMessage::Routes(routes.as_ref().clone()));
             }
-            let standing = self.describe_standing(&state, true, now);
+            let standing = self.describe_standing(&state, true, request.aggregators, now);
             return self.send(from, HubMessage::Standing(standing));
         }
         let follower = state.followers.entry(from).or_default();
         follower.heard_at = now;
         follower.polls += 1;
+        follower.member = request.zone.clone().map(|zone| (zone, request.cores));
         let names_hubs = request.is_new || follower.polls % HUB_LIST_POLLS == 1;
         let is_free = follower.routes_sent_at.is_none_or(|at| now.since(at) >= ROUTES_PERIOD);
         if let Some(routes) = routes.filter(|_| is_behind && (is_free || request.is_new)) {
@@ -56,17 +58,28 @@
         if follower.watch.compare(digest, request.digest, request.is_new, now) {
             self.send(from, HubMessage::Records(state.directory.records().cloned().collect()));
         }
-        let standing = self.describe_standing(&state, names_hubs, now);
+        let standing = self.describe_standing(&state, names_hubs, request.aggregators, now);
         self.send(from, HubMessage::Standing(standing));
     }
 
-    fn describe_standing(&self, state: &HubState, names_hubs: bool, now: Timestamp) -> HubStanding {
+    fn describe_standing(
+        &self,
+        state: &HubState,
+        names_hubs: bool,
+        known_aggregators: u64,
+        now: Timestamp,
+    ) -> HubStanding {
         let mut hubs = Vec::new();
         if names_hubs {
             hubs.extend(state.peers.addresses());
             hubs.push(HubAddress { peer: self.parts.peer, zone: Some(self.parts.zone.clone()) });
         }
+        let mut aggregators = state.aggregators.clone();
+        if digest_aggregators(&aggregators) == known_aggregators {
+            aggregators.clear();
+        }
         HubStanding {
+            aggregators,
             is_current: self.is_current(state, now),
             is_synced: state.is_synced,
             digest: state.directory.digest(),
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -17,6 +17,10 @@
     InstanceId, TargetId, Timestamp, ZoneName,
     border::PeerLink,
     controller::{
+        aggregators::{
+            AggregatorAddress, AggregatorCandidate, ZoneMembers, choose_aggregators,
+            summarize_members,
+        },
         group_keeper::{GroupKeeper, JoinRequest, SeedKind},
         ledger::{LedgerCommand, LedgerReply},
         quorum::{MemberChange, StorageId},
@@ -127,6 +131,8 @@
     keeper: GroupKeeper,
     peers: HubPeers,
     followers: BTreeMap<SocketAddr, HubFollowerState>,
+    /// The instances that scatter searches for others.
+    aggregators: Vec<AggregatorAddress>,
     /// The newest route set heard of; a member's own view may be newer.
     heard_routes: Option<Arc<RouteDocument>>,
     storage: Option<StorageId>,
@@ -162,6 +168,7 @@
             keeper: GroupKeeper::new(parts.id.clone(), parts.tolerated_losses),
             peers: HubPeers::new(parts.peer),
             followers: BTreeMap::new(),
+            aggregators: Vec::new(),
             heard_routes: None,
             waiting: WaitingNews::default(),
             storage: None,
@@ -387,6 +394,7 @@
             state.ticks
         };
         if ticks % GREET_TICKS == 1 {
+            self.choose_aggregators(now);
             self.greet_peers();
         }
         if ticks % LAPSE_TICKS == 2 {
@@ -464,6 +472,7 @@
             is_synced: state.is_synced,
             is_current: self.is_current(&state, now),
             hubs: state.peers.heard(now).map(|(address, _)| address).collect(),
+            members: Self::summarize_followers(&state, now),
         };
         let message = HubMessage::Greeting(Box::new(greeting));
         let Some(frame) = self.encode(message) else { return };
@@ -472,6 +481,29 @@
         }
     }
 
+    /// Summarizes the instances that follow this hub.
+    fn summarize_followers(state: &HubState, now: Timestamp) -> Vec<ZoneMembers> {
+        let present = state.followers.iter().filter(|(_, follower)| follower.is_present(now));
+        summarize_members(present.filter_map(|(peer, follower)| {
+            let (zone, cores) = follower.member.clone()?;
+            Some((zone, AggregatorCandidate { peer: *peer, cores }))
+        }))
+    }
+
+    /// Chooses the aggregators from the instances that any hub hears of.
+    fn choose_aggregators(&self, now: Timestamp) {
+        let mut state = self.state.borrow_mut();
+        let own = Self::summarize_followers(&state, now);
+        let others = state.peers.heard(now).flat_map(|(_, greeting)| &greeting.members);
+        let chosen = choose_aggregators(own.iter().chain(others));
+        if chosen != state.aggregators {
+            info!(self.parts.log, "hub: the aggregators changed";
+                "former" => format_addresses(&state.aggregators),
+                "aggregators" => format_addresses(&chosen));
+            state.aggregators = chosen;
+        }
+    }
+
     fn log_changes(&self, changed: &[TargetRecord], cause: &str) {
         for record in changed {
             info!(self.parts.log, "hub: a target changed"; "target" => %record.id,
@@ -519,3 +551,7 @@
         self.parts.clock.now()
     }
 }
+
+fn format_addresses(aggregators: &[AggregatorAddress]) -> String {
+    aggregators.iter().map(|held| held.peer.to_string()).collect::<Vec<_>>().join(" ")
+}
--- a/crates/figgladed/src/hub/peers.rs
+++ b/crates/figgladed/src/hub/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use figglade::{
-    InstanceId, Timestamp, ZoneName,
+    CoreShare, InstanceId, Timestamp, ZoneName,
     controller::{group_keeper::SeedKind, hub_chooser::HubAddress},
 };
 
@@ -164,6 +164,8 @@
     pub(super) watch: DigestWatch,
     pub(super) polls: u32,
     pub(super) routes_sent_at: Option<Timestamp>,
+    /// Its availability zone and its processor time, once it said so.
+    pub(super) member: Option<(ZoneName, CoreShare)>,
 }
 
 impl HubFollowerState {
--- a/crates/figgladed/src/peer_link/connection.rs
+++ b/crates/figgladed/src/peer_link/connection.rs
@@ -148,15 +148,22 @@
         let (context, state, queue) = self.share();
         let session = self.session.clone();
         spawn_local(async move {
-            let answer = timeout(call.time_left(), promise).await;
+            let mut call = call;
+            let time_left = call.time_left();
+            let answer = tokio::select! {
+                answer = timeout(time_left, promise) => Some(answer),
+                // Dropping the promise cancels the call at the peer.
+                () = call.reply.closed() => None,
+            };
             state.calls.update(|count| count - 1);
             let answer = match answer {
-                Ok(Ok(response)) => {
+                Some(Ok(Ok(response))) => {
                     state.useful.set(true);
                     read_answer(&context, &response)
                 }
-                Ok(Err(error)) => Err(PeerCallError::Unknown(describe_loss(&error))),
-                Err(_) => {
+                Some(Ok(Err(error))) => Err(PeerCallError::Unknown(describe_loss(&error))),
+                None if !call.time_left().is_zero() => return queue.wake.notify_one(),
+                Some(Err(_)) | None => {
                     spawn_local(ping_peer(context, session, state, Arc::clone(&queue)));
                     Err(PeerCallError::Unknown(UnknownReason::TimedOut))
                 }
--- a/crates/figgladed/src/peer_link/table.rs
+++ b/crates/figgladed/src/peer_link/table.rs
@@ -28,7 +28,7 @@
 /// Separates short urgent frames from bulk, so that they never queue behind it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum LinkLane {
-    /// Membership, quorum and control.
+    /// Membership, quorum, control, registry and searches.
     Urgent,
     /// Directory and events.
     Bulk,
@@ -41,7 +41,8 @@
             FrameKind::Membership
             | FrameKind::Quorum
             | FrameKind::Control
-            | FrameKind::Registry => Self::Urgent,
+            | FrameKind::Registry
+            | FrameKind::Search => Self::Urgent,
             FrameKind::Directory | FrameKind::Events => Self::Bulk,
         }
     }
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -1,12 +1,6 @@
 //! The edge: takes the requests of callers.
 
-use std::{
-    cell::Cell,
-    net::SocketAddr,
-    rc::Rc,
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use figglade::{
     Incarnation,
@@ -20,7 +14,7 @@
     net::TcpListener,
     sync::mpsc,
     task::spawn_local,
-    time::{interval, sleep},
+    time::{interval, sleep, timeout},
 };
 
 use super::{
@@ -30,13 +24,15 @@
 };
 use crate::{
     clock::ProcessClock,
-    control::MemberHandle,
     http1::{
         HttpHandler, HttpRequest, HttpResponse, HttpServer, LocalFuture, ServerPhase, StopSwitch,
     },
-    hub::{HubFollower, HubHandler, HubInput},
+    hub::{HubFollower, HubHandler},
     peer_link::{PeerLimits, PeerOptions, PeerTransport},
-    relay::{EdgeState, HeaderNames, ReadyHandler, RelayHandler, RelayMetrics},
+    relay::{
+        AggregatorService, EdgeState, HeaderNames, ReadyHandler, RelayHandler, RelayMetrics,
+        SearchHandover,
+    },
 };
 
 /// The messages that wait for the thread of the process.
@@ -88,7 +84,9 @@
     let callers = listen(require(settings.callers, "the address for callers")?).await?;
     let readiness = listen(require(settings.readiness, "the address for readiness")?).await?;
     let (inputs, received) = mpsc::channel(MAX_WAITING_INPUTS);
-    let transport = start_links(&settings, inputs, Arc::default(), clock, &log).await?;
+    let (searches, taken_searches) = mpsc::channel(MAX_WAITING_INPUTS);
+    let handler = HubHandler::new(inputs, Arc::default(), Some(searches));
+    let transport = start_links(&settings, handler, clock, &log).await?;
     let edge =
         EdgeState::new(clock, names, settings.edge.clone(), log.clone(), rand::random::<u64>());
     let edge = Rc::new(edge);
@@ -104,8 +102,15 @@
     let switch = Rc::new(StopSwitch::default());
     let is_stopping = Rc::new(Cell::new(false));
     spawn_local(Rc::clone(&follower).run(received));
-    spawn_local(maintain(Rc::clone(&edge)));
-    serve(callers, Rc::new(RelayHandler::new(Rc::clone(&edge))), &switch, &log);
+    let handover = Rc::new(SearchHandover::new(Rc::clone(&edge), Rc::new(transport.handle())));
+    spawn_local(maintain(Rc::clone(&edge), Rc::clone(&handover)));
+    let aggregator = Rc::new(AggregatorService::new(
+        Rc::clone(&edge),
+        Rc::clone(&handover),
+        Rc::clone(&is_stopping),
+    ));
+    spawn_local(Rc::clone(&aggregator).run(taken_searches));
+    serve(callers, Rc::new(RelayHandler::new(Rc::clone(&edge), handover)), &switch, &log);
     let probe_switch = Rc::new(StopSwitch::default());
     let ready = ReadyHandler::new(Rc::clone(&edge), Rc::clone(&switch), Rc::clone(&is_stopping));
     serve(readiness, Rc::new(ready), &probe_switch, &log);
@@ -117,7 +122,7 @@
     watch.wait_stop(reader.as_ref(), |settings| follower.learn_seeds(&settings.seeds)).await;
     info!(log, "process: the edge stops"; "active" => switch.active());
     is_stopping.set(true);
-    finish_requests(&switch, grace, &clock).await;
+    finish_requests(&switch, &aggregator, grace, &clock).await;
     info!(log, "process: the edge stopped"; "cut_off" => switch.active());
     transport.close().await;
     Ok(())
@@ -125,34 +130,40 @@
 
 /// Serves until the balancer has turned away, then closes connections behind their answers, and
 /// waits for the last ones.
-async fn finish_requests(switch: &StopSwitch, grace: Duration, clock: &ProcessClock) {
+async fn finish_requests(
+    switch: &StopSwitch,
+    aggregator: &AggregatorService,
+    grace: Duration,
+    clock: &ProcessClock,
+) {
     let began = clock.now();
     sleep(BALANCER_DELAY.min(grace.mul_f64(0.5))).await;
     switch.advance(ServerPhase::Leaving);
     sleep(grace.mul_f64(READ_SHARE).saturating_sub(clock.now().since(began))).await;
     switch.advance(ServerPhase::Finishing);
     let left = grace.saturating_sub(clock.now().since(began)).saturating_sub(KILL_MARGIN);
-    switch.wait_idle(left).await;
+    let searches_end = timeout(left, aggregator.wait_idle());
+    // What is still under way then is counted by the line of the stop.
+    let ((), _) = tokio::join!(switch.wait_idle(left), searches_end);
 }
 
-async fn maintain(edge: Rc<EdgeState>) {
+async fn maintain(edge: Rc<EdgeState>, handover: Rc<SearchHandover>) {
     let mut ticks = interval(MAINTAIN_PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         edge.maintain();
+        handover.refresh();
     }
 }
 
 /// Starts the links to other processes.
 pub(super) async fn start_links(
     settings: &ProcessSettings,
-    inputs: mpsc::Sender<HubInput>,
-    member: Arc<OnceLock<MemberHandle>>,
+    handler: HubHandler,
     clock: ProcessClock,
     log: &Logger,
 ) -> Result<PeerTransport, ProcessError> {
-    let handler = Arc::new(HubHandler::new(inputs, member));
     let incarnation = Incarnation::new(clock.wall().as_millis());
     let mut options = PeerOptions::new(settings.peer, settings.id.clone(), incarnation, None);
     options.limits = PeerLimits {
@@ -161,7 +172,7 @@
         max_backoff: MAX_BACKOFF,
         ..PeerLimits::default()
     };
-    Ok(PeerTransport::start(options, handler, log.clone()).await?)
+    Ok(PeerTransport::start(options, Arc::new(handler), log.clone()).await?)
 }
 
 /// Serves a listener in the background.
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -24,7 +24,7 @@
     clock::ProcessClock,
     control::{ControlGroup, ControlMember, MemberHandle},
     http1::{HttpHandler, ServerPhase, StopSwitch},
-    hub::{HubNode, HubParts, MemberPlan, TargetMemory, start_member},
+    hub::{HubHandler, HubNode, HubParts, MemberPlan, TargetMemory, start_member},
     peer_link::{PeerHandle, PeerTransport},
 };
 
@@ -64,7 +64,8 @@
     let listener = listen(admin_address).await?;
     let (inputs, received) = mpsc::channel(MAX_WAITING_INPUTS);
     let member = Arc::new(OnceLock::new());
-    let transport = start_links(&settings, inputs, Arc::clone(&member), clock, &log).await?;
+    let handler = HubHandler::new(inputs, Arc::clone(&member), None);
+    let transport = start_links(&settings, handler, clock, &log).await?;
     let own = settings.data.is_some().then(|| Arc::clone(&member));
     let group = ControlGroup::with_late_member(
         clock,
--- /dev/null
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -0,0 +1,188 @@
+//! Scatters searches that other instances hand over.
+
+use std::{cell::Cell, rc::Rc};
+
+use figglade::{
+    controller::route_set::{Destination, RouteSpec, RouteTable},
+    filter::scatter::ScatterEnd,
+};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    task::spawn_local,
+};
+
+use super::{
+    answer::merge_answers,
+    edge::EdgeState,
+    forward::{ForwardCall, ForwardOrder},
+    handler::ActiveCount,
+    handover::SearchHandover,
+    request_log::RequestNote,
+    search_message::{DeclineReason, SearchMessage, SearchPlan, SearchReply, SearchRun},
+};
+use crate::peer_link::PeerSender;
+
+/// The searches scattered at a time for others: ten times those that an aggregator has under way
+/// at its usual rate. More of them would wait for its processor, and are faster where they came in.
+const MAX_SEARCHES: usize = 24;
+
+/// A message of another instance.
+#[derive(Debug)]
+pub struct SearchInput {
+    /// The sender.
+    pub from: PeerSender,
+    /// The message.
+    pub message: SearchMessage,
+    /// Takes the answer; closed once the sender no longer waits.
+    pub reply: oneshot::Sender<SearchReply>,
+}
+
+/// Scatters the searches of other instances.
+pub struct AggregatorService {
+    edge: Rc<EdgeState>,
+    handover: Rc<SearchHandover>,
+    is_stopping: Rc<Cell<bool>>,
+    active: Cell<usize>,
+    ended: Notify,
+}
+
+impl AggregatorService {
+    /// Builds the service; it declines searches once `is_stopping` is set.
+    pub fn new(
+        edge: Rc<EdgeState>,
+        handover: Rc<SearchHandover>,
+        is_stopping: Rc<Cell<bool>>,
+    ) -> Self {
+        Self { edge, handover, is_stopping, active: Cell::new(0), ended: Notify::new() }
+    }
+
+    /// Takes messages until the process ends.
+    pub async fn run(self: Rc<Self>, mut inputs: mpsc::Receiver<SearchInput>) {
+        while let Some(SearchInput { from, message, reply }) = inputs.recv().await {
+            match message {
+                SearchMessage::Probe(plan) => {
+                    let answer = match self.find_route(&plan) {
+                        Ok(_) => SearchReply::Ready,
+                        Err(reason) => SearchReply::Declined(reason),
+                    };
+                    // The sender may have stopped waiting.
+                    let _ = reply.send(answer);
+                }
+                SearchMessage::Run(run) => {
+                    spawn_local(Rc::clone(&self).serve(from, run, reply));
+                }
+            }
+        }
+    }
+
+    /// Waits until no search is under way.
+    pub async fn wait_idle(&self) {
+        while self.active.get() > 0 {
+            self.ended.notified().await;
+        }
+    }
+
+    async fn serve(
+        self: Rc<Self>,
+        from: PeerSender,
+        run: SearchRun,
+        mut reply: oneshot::Sender<SearchReply>,
+    ) {
+        let answer = tokio::select! {
+            biased;
+            // The caller left, or its instance did: the attempts end with the call.
+            () = reply.closed() => None,
+            answer = self.scatter(&from, run) => Some(answer),
+        };
+        if let Some(answer) = answer {
+            // The sender may have stopped waiting.
+            let _ = reply.send(answer);
+        }
+        self.ended.notify_one();
+    }
+
+    async fn scatter(&self, from: &PeerSender, run: SearchRun) -> SearchReply {
+        let arrived = self.edge.clock.now();
+        let (table, route) = match self.find_route(&run.plan) {
+            Ok(found) => found,
+            Err(reason) => return SearchReply::Declined(reason),
+        };
+        let route = &table.set().routes[route];
+        let Destination::Shards(plan) = &route.destination else {
+            return SearchReply::Declined(DeclineReason::OtherPlan);
+        };
+        let _active = ActiveCount::start(&self.active);
+        let order = ForwardOrder {
+            head: run.head,
+            body: run.body,
+            is_head: run.is_head,
+            request_id: run.request_id,
+            arrived,
+            goal: arrived + run.goal_left,
+            deadline: arrived + run.deadline_left,
+        };
+        let request_id = order.request_id.clone();
+        let deadline = order.deadline;
+        let forwarded = if run.shards.is_empty() {
+            let outside = self.handover.split_off(route, &order);
+            let mut call = ForwardCall::new(&self.edge, route, order);
+            if let Some(part) = outside {
+                call.leave_outside(part);
+            }
+            call.run().await
+        } else {
+            let all = self.edge.services_for(route);
+            let wanted = run.shards.iter().filter_map(|place| all.get(*place as usize).cloned());
+            let least = run.least_answers as usize;
+            let services = wanted.collect();
+            ForwardCall::with_services(&self.edge, route, order, services, least).run().await
+        };
+        let now = self.edge.clock.now();
+        let (reply, outcome, missing) = match forwarded.end {
+            ScatterEnd::Answered { missing } => {
+                let merged =
+                    merge_answers(plan, &forwarded.answers, forwarded.merged.as_ref(), missing);
+                let outcome = if missing == 0 { "complete" } else { "partial" };
+                (SearchReply::Answered(merged), outcome, missing)
+            }
+            ScatterEnd::Failed(reason) => (SearchReply::Failed(reason), "failed", 0),
+        };
+        self.edge.metrics.count_request("aggregated", outcome, missing, now.since(arrived));
+        let id = request_id.as_deref().and_then(|id| std::str::from_utf8(id).ok());
+        self.edge.request_log.note(
+            &RequestNote {
+                request_id: id.unwrap_or_default(),
+                route: Some(route),
+                version: Some(table.set().version),
+                status: if matches!(reply, SearchReply::Answered(_)) { 200 } else { 503 },
+                outcome,
+                missing,
+                arrived,
+                deadline,
+                attempts: &forwarded.notes,
+                unasked: &forwarded.unasked,
+                handover: &format!("taken from {}; {}", from.id, forwarded.handover),
+            },
+            now,
+        );
+        reply
+    }
+
+    /// Returns the routes in force and the position of the route of a plan, where its shards are
+    /// the same here.
+    fn find_route(&self, plan: &SearchPlan) -> Result<(Rc<RouteTable>, usize), DeclineReason> {
+        if self.is_stopping.get() {
+            return Err(DeclineReason::Stopping);
+        }
+        if self.active.get() >= MAX_SEARCHES {
+            return Err(DeclineReason::Busy);
+        }
+        let table = self.edge.routes().ok_or(DeclineReason::OtherPlan)?;
+        let position = table.find_named(&plan.route).ok_or(DeclineReason::OtherPlan)?;
+        let is_same = |route: &RouteSpec| route.search_digest() == Some(plan.digest);
+        if !is_same(&table.set().routes[position]) {
+            return Err(DeclineReason::OtherPlan);
+        }
+        Ok((table, position))
+    }
+}
--- a/crates/figgladed/src/relay/answer.rs
+++ b/crates/figgladed/src/relay/answer.rs
@@ -5,13 +5,22 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
-use figglade::filter::scatter::{AttemptEnd, AttemptTicket, ReplicaState};
+use bytes::{BufMut, Bytes, BytesMut};
+use figglade::{
+    controller::route_set::ShardPlan,
+    filter::{
+        ranked::merge_ranked,
+        scatter::{AttemptEnd, AttemptTicket, ReplicaState},
+    },
+};
 use tokio::sync::Notify;
 
-use super::{headers::AnswerMarks, link::TargetLink};
+use super::{headers::AnswerMarks, link::TargetLink, search_message::MergedAnswer};
 use crate::http1::ResponseHead;
 
+/// The room made for the proof of one shard, in bytes.
+const PROOF_BYTES: usize = 40;
+
 /// The whole answer of a target.
 #[derive(Clone, Debug)]
 pub(super) struct TargetAnswer {
@@ -20,6 +29,28 @@
     pub(super) body: Bytes,
 }
 
+/// Merges the records of the shards that answered, and of those that another instance merged
+/// before, and names them by their proofs.
+pub(super) fn merge_answers(
+    plan: &ShardPlan,
+    answers: &[TargetAnswer],
+    merged: Option<&MergedAnswer>,
+    missing: usize,
+) -> MergedAnswer {
+    let parts = answers.iter().map(|answer| &answer.body);
+    let parts = parts.chain(merged.map(|merged| &merged.records));
+    let records = merge_ranked(parts.map(|part| &part[..]), plan.top_records);
+    let mut proofs = BytesMut::with_capacity(plan.services.len() * PROOF_BYTES);
+    let named = answers.iter().filter_map(|answer| answer.marks.proof.as_ref());
+    for proof in named.chain(merged.map(|merged| &merged.proofs)) {
+        if !proofs.is_empty() && !proof.is_empty() {
+            proofs.put_slice(b", ");
+        }
+        proofs.put_slice(proof);
+    }
+    MergedAnswer { proofs: proofs.freeze(), missing, records }
+}
+
 /// The end of one attempt.
 #[derive(Clone, Debug)]
 pub(super) struct AttemptReport {
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -4,20 +4,23 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
 use figglade::{
-    InstanceId, ServiceName, Timestamp, ZoneName,
+    CoreShare, InstanceId, ServiceName, Timestamp, ZoneName,
     controller::{
+        aggregators::AggregatorAddress,
         census::InstanceCensus,
         route_set::{CallerLimits, Destination, RouteSet, RouteSetVersion, RouteSpec, RouteTable},
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::scatter::{
-        BudgetRules, ReplicaSpec, ReplicaState, RouteProfile, ServiceState, plan_connections,
+        AggregatorPicker, BudgetRules, HandoverState, InstanceShare, ReplicaSpec, ReplicaState,
+        RouteProfile, ServiceState, ZoneCoverage, plan_connections, wants_aggregator,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -41,6 +44,10 @@
     pub instance: InstanceId,
     /// The availability zone of the instance.
     pub zone: ZoneName,
+    /// Where the instance listens for peers.
+    pub peer: SocketAddr,
+    /// The processor time that the instance has.
+    pub cores: CoreShare,
     /// The extra attempts for each first attempt, over all instances.
     pub extra_ratio: f64,
     /// The extra attempts that are always allowed in a window, over all instances.
@@ -67,6 +74,9 @@
     directory: RefCell<ServiceDirectory>,
     /// How far each weighted service of a route is behind its part.
     balances: RefCell<HashMap<String, Vec<f64>>>,
+    /// The zones with targets of each searched route; filled on demand.
+    coverages: RefCell<HashMap<String, Rc<ZoneCoverage>>>,
+    aggregators: RefCell<AggregatorPicker>,
     census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
 }
@@ -81,6 +91,7 @@
         seed: u64,
     ) -> Self {
         let context = LinkContext { clock, names, log: log.clone() };
+        let picker = AggregatorPicker::new(rules.peer, rules.zone.clone());
         Self {
             clock,
             names,
@@ -95,6 +106,8 @@
             services: RefCell::default(),
             directory: RefCell::default(),
             balances: RefCell::default(),
+            coverages: RefCell::default(),
+            aggregators: RefCell::new(picker),
             census: RefCell::default(),
             is_current: Cell::new(false),
         }
@@ -127,6 +140,7 @@
         let names: HashSet<_> = set.routes.iter().map(|route| route.name.as_str()).collect();
         self.profiles.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.balances.borrow_mut().clear();
+        self.coverages.borrow_mut().clear();
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(Arc::new(set))));
         self.refresh_limits();
     }
@@ -145,9 +159,37 @@
                 "incarnation" => %record.incarnation, "sequence" => record.sequence);
             self.apply_record(record, now);
         }
+        if !changes.is_empty() {
+            self.coverages.borrow_mut().clear();
+        }
         changes.len()
     }
 
+    /// Takes the list of aggregators; an empty one brings nothing new.
+    pub fn adopt_aggregators(&self, list: Vec<AggregatorAddress>) {
+        if list.is_empty() {
+            return;
+        }
+        info!(self.log, "relay: the aggregators changed"; "aggregators" => format!("{list:?}"));
+        self.aggregators.borrow_mut().learn(list);
+        self.refresh_limits();
+    }
+
+    /// Returns the aggregators known.
+    pub const fn aggregators(&self) -> &RefCell<AggregatorPicker> {
+        &self.aggregators
+    }
+
+    /// Returns the availability zone of the instance.
+    pub const fn zone(&self) -> &ZoneName {
+        &self.rules.zone
+    }
+
+    /// Returns the processor time of the instance.
+    pub const fn cores(&self) -> CoreShare {
+        self.rules.cores
+    }
+
     /// Notes how many instances share the targets, and whether the control group proved that the
     /// route set here is the newest.
     pub fn note_standing(&self, instances: usize, is_current: bool) {
@@ -218,6 +260,47 @@
         profile
     }
 
+    /// Returns the zones with targets of the shards of a route.
+    pub(super) fn coverage_of(&self, route: &RouteSpec) -> Rc<ZoneCoverage> {
+        if let Some(coverage) = self.coverages.borrow().get(&route.name) {
+            return Rc::clone(coverage);
+        }
+        let Destination::Shards(plan) = &route.destination else { return Rc::default() };
+        let directory = self.directory.borrow();
+        let mut zones: HashMap<&ServiceName, Vec<&ZoneName>> = HashMap::new();
+        for record in directory.live().filter(|record| record.is_usable() && !record.is_lapsed) {
+            zones.entry(&record.service).or_default().push(&record.zone);
+        }
+        let of_shard = |service| zones.get(service).cloned().unwrap_or_default();
+        let coverage =
+            Rc::new(ZoneCoverage::count(self.zone(), plan.services.iter().map(of_shard)));
+        let held = Rc::clone(&coverage);
+        self.coverages.borrow_mut().insert(route.name.clone(), held);
+        coverage
+    }
+
+    /// Returns whether the targets of the shards of a route accept too few connections for each
+    /// instance to keep one.
+    pub(super) fn is_scarce(&self, route: &RouteSpec) -> bool {
+        let Destination::Shards(plan) = &route.destination else { return false };
+        let routes = self.routes.borrow();
+        let find = |name| routes.as_ref().and_then(|table| table.find_service(name));
+        let share = InstanceShare::equal(self.instances());
+        plan.services
+            .first()
+            .and_then(find)
+            .is_some_and(|spec| share.is_scarce(spec.max_connections))
+    }
+
+    /// Returns whether searches of a route go to an aggregator.
+    pub(super) fn hands_over(&self, route: &RouteSpec, coverage: &ZoneCoverage) -> bool {
+        wants_aggregator(HandoverState {
+            is_aggregator: self.aggregators.borrow().is_aggregator(),
+            is_scarce: self.is_scarce(route),
+            is_covered: coverage.covers(self.zone()),
+        })
+    }
+
     /// Returns the services that answer a request of the route.
     pub(super) fn services_for(&self, route: &RouteSpec) -> Vec<Rc<ServiceState>> {
         match &route.destination {
@@ -253,29 +336,46 @@
     }
 
     fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
-        let mut services = self.services.borrow_mut();
-        let held = services.entry(name.clone());
-        let rules = self.budget_rules();
-        Rc::clone(held.or_insert_with(|| Rc::new(ServiceState::new(name.clone(), rules))))
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let rules = self.budget_rules(&self.share_of(name));
+        let service = Rc::new(ServiceState::new(name.clone(), rules));
+        self.services.borrow_mut().insert(name.clone(), Rc::clone(&service));
+        service
     }
 
     fn instances(&self) -> usize {
         self.census.borrow().instances()
     }
 
-    fn budget_rules(&self) -> BudgetRules {
+    /// Returns the share of this instance in what the targets of a service bound.
+    fn share_of(&self, name: &ServiceName) -> InstanceShare {
+        let share = InstanceShare::equal(self.instances());
+        if !share.is_scarce(self.cap_of(name)) {
+            return share;
+        }
+        let picker = self.aggregators.borrow();
+        let (aggregators, is_aggregator) = (picker.count(), picker.is_aggregator());
+        InstanceShare { aggregators, is_aggregator, ..share }
+    }
+
+    /// Returns the connections that a target of a service accepts.
+    fn cap_of(&self, name: &ServiceName) -> u32 {
+        let routes = self.routes.borrow();
+        let spec = routes.as_ref().and_then(|table| table.find_service(name));
+        spec.map_or(UNKNOWN_CAP, |spec| spec.max_connections)
+    }
+
+    fn budget_rules(&self, share: &InstanceShare) -> BudgetRules {
         let rules = &self.rules;
         let slack_from = if rules.has_former_life {
             Timestamp::ZERO + rules.extra_window
         } else {
             Timestamp::ZERO
         };
-        let shared = BudgetRules::shared(
-            rules.extra_ratio,
-            rules.extra_slack,
-            rules.extra_window,
-            self.instances(),
-        );
+        let shared =
+            BudgetRules::shared(rules.extra_ratio, rules.extra_slack, rules.extra_window, share);
         BudgetRules { slack_from, ..shared }
     }
 
@@ -313,13 +413,10 @@
 
     /// Divides the connections that the targets of the service accept among the instances.
     fn divide_connections(&self, service: &ServiceState) {
-        let routes = self.routes.borrow();
-        let table = routes.as_ref();
-        let spec = table.and_then(|table| table.find_service(&service.name));
-        let cap = spec.map_or(UNKNOWN_CAP, |spec| spec.max_connections);
         let replicas = service.replicas.borrow();
         let specs: Vec<_> = replicas.iter().map(|replica| &replica.spec).collect();
-        let plans = plan_connections(&self.rules.instance, &specs, cap, self.instances());
+        let (cap, share) = (self.cap_of(&service.name), self.share_of(&service.name));
+        let plans = plan_connections(&self.rules.instance, &specs, cap, &share);
         for (replica, plan) in replicas.iter().zip(plans) {
             replica.connection_limit.set(plan.limit);
             replica.is_kept.set(plan.is_kept);
@@ -328,9 +425,8 @@
     }
 
     fn refresh_limits(&self) {
-        let rules = self.budget_rules();
         for service in self.services.borrow().values() {
-            service.budget_rules.set(rules);
+            service.budget_rules.set(self.budget_rules(&self.share_of(&service.name)));
             self.divide_connections(service);
         }
     }
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -16,24 +16,59 @@
 use super::{
     answer::{AnswerInbox, AttemptReport, AttemptSink, OpenLinks, TargetAnswer},
     edge::EdgeState,
+    handover::{HandoverEnd, HandoverReport, OutsidePart},
     headers::HeaderNames,
     pool::{LinkPools, RequestWriter},
     request_log::AttemptNote,
+    search_message::MergedAnswer,
 };
-use crate::http1::{HttpRequest, put_field};
+use crate::http1::{HttpRequest, LocalFuture, put_field};
 
-/// The time that an answer needs to the caller and the request needed from it, with a new
-/// connection; the instance sees neither.
-const TRAVEL_TIME: Duration = Duration::from_millis(14);
 /// The part of the latency goal for which a first attempt waits for a free connection: longer, and
 /// its answer would most likely be late.
 const WAIT_SHARE: f64 = 0.35;
 /// How much earlier than the caller a target gives up, so that its answer can still be passed on.
 const RETURN_TIME: Duration = Duration::from_millis(5);
 
-/// The request as targets get it.
-pub(super) struct TargetRequest {
+/// A request with the times that bound it, as it goes to targets or to an aggregator.
+#[derive(Clone, Debug)]
+pub(super) struct ForwardOrder {
     /// The head without the headers that differ between targets.
+    pub(super) head: Bytes,
+    pub(super) body: Bytes,
+    /// Whether it is a `HEAD`, whose answer has no body.
+    pub(super) is_head: bool,
+    pub(super) request_id: Option<Bytes>,
+    pub(super) arrived: Timestamp,
+    /// When a search is answered without its last shards.
+    pub(super) goal: Timestamp,
+    pub(super) deadline: Timestamp,
+}
+
+/// Writes the head of a request for targets, without the headers of the connection and those that
+/// differ between targets.
+pub(super) fn write_head(request: &HttpRequest, names: &HeaderNames) -> Bytes {
+    let head = &request.head;
+    let mut out = BytesMut::with_capacity(512);
+    out.put_slice(&head.method);
+    out.put_u8(b' ');
+    out.put_slice(&head.target);
+    out.put_slice(b" HTTP/1.1\r\n");
+    for field in &head.headers.0 {
+        if !head.headers.is_hop_field(field) && !names.is_own(&field.name) {
+            put_field(&mut out, &field.name, &field.value);
+        }
+    }
+    let declares_body = head.headers.get("content-length").is_some()
+        || head.headers.get("transfer-encoding").is_some();
+    if declares_body || !request.body.is_empty() {
+        put_field(&mut out, b"Content-Length", request.body.len().to_string().as_bytes());
+    }
+    out.freeze()
+}
+
+/// The request as targets get it.
+struct TargetRequest {
     head: Bytes,
     body: Bytes,
     names: HeaderNames,
@@ -41,33 +76,6 @@
     repeat: RepeatRule,
 }
 
-impl TargetRequest {
-    fn new(
-        request: &HttpRequest,
-        names: HeaderNames,
-        deadline: Timestamp,
-        repeat: RepeatRule,
-    ) -> Self {
-        let head = &request.head;
-        let mut out = BytesMut::with_capacity(512);
-        out.put_slice(&head.method);
-        out.put_u8(b' ');
-        out.put_slice(&head.target);
-        out.put_slice(b" HTTP/1.1\r\n");
-        for field in &head.headers.0 {
-            if !head.headers.is_hop_field(field) && !names.is_own(&field.name) {
-                put_field(&mut out, &field.name, &field.value);
-            }
-        }
-        let declares_body = head.headers.get("content-length").is_some()
-            || head.headers.get("transfer-encoding").is_some();
-        if declares_body || !request.body.is_empty() {
-            put_field(&mut out, b"Content-Length", request.body.len().to_string().as_bytes());
-        }
-        Self { head: out.freeze(), body: request.body.clone(), names, deadline, repeat }
-    }
-}
-
 impl RequestWriter for TargetRequest {
     fn write_request(&self, replica: &ReplicaState, now: Timestamp) -> Bytes {
         let left = self.deadline.since(now + RETURN_TIME).as_millis().max(1);
@@ -99,6 +107,10 @@
     pub(super) notes: Vec<AttemptNote>,
     /// The services that were not asked, and why; none after a whole answer.
     pub(super) unasked: String,
+    /// The answer of the instance that some shards were left to.
+    pub(super) merged: Option<MergedAnswer>,
+    /// What became of those shards, for the log.
+    pub(super) handover: String,
 }
 
 /// Stops the attempts of a request when it ends, and at once when its caller leaves.
@@ -130,27 +142,36 @@
     answers: Vec<TargetAnswer>,
     failure: Option<TargetAnswer>,
     notes: Vec<AttemptNote>,
+    /// What another instance was asked for.
+    outside: Option<LocalFuture<'static, HandoverReport>>,
+    /// What it answered.
+    merged: Option<MergedAnswer>,
+    /// What became of that, for the log.
+    steps: String,
 }
 
 impl<'a> ForwardCall<'a> {
-    /// Prepares a request that came at `arrived` and whose caller waits until `deadline`;
-    /// `spent_before` passed at the caller before.
-    pub(super) fn new(
+    /// Prepares a request on `route`.
+    pub(super) fn new(edge: &'a EdgeState, route: &RouteSpec, order: ForwardOrder) -> Self {
+        let services: Vec<Rc<ServiceState>> = edge.services_for(route);
+        let least_answers = match &route.destination {
+            Destination::Shards(plan) => plan.min_shards(),
+            Destination::Service(_) | Destination::Weighted(_) => 1,
+        };
+        Self::with_services(edge, route, order, services, least_answers)
+    }
+
+    /// Prepares a request to some services of `route`, of which `least_answers` must answer.
+    pub(super) fn with_services(
         edge: &'a EdgeState,
         route: &RouteSpec,
-        request: &HttpRequest,
-        request_id: Option<Bytes>,
-        spent_before: Duration,
-        arrived: Timestamp,
-        deadline: Timestamp,
+        order: ForwardOrder,
+        services: Vec<Rc<ServiceState>>,
+        least_answers: usize,
     ) -> Self {
-        let services: Vec<Rc<ServiceState>> = edge.services_for(route);
+        let ForwardOrder { head, body, is_head, request_id, arrived, goal, deadline } = order;
         let profile = edge.profile_of(route);
-        let goal = (arrived + route.latency_goal) - spent_before - TRAVEL_TIME;
-        let (is_part, least_answers) = match &route.destination {
-            Destination::Shards(plan) => (true, plan.min_shards()),
-            Destination::Service(_) | Destination::Weighted(_) => (false, 1),
-        };
+        let is_part = matches!(route.destination, Destination::Shards(_));
         let rules = ScatterRules {
             repeat: route.repeat,
             max_attempts: route.max_attempts.max(1),
@@ -158,12 +179,13 @@
             times: CutoffTimes { goal, deadline },
             wait_until: (arrived + route.latency_goal.mul_f64(WAIT_SHARE)).min(deadline),
         };
-        let writer = TargetRequest::new(request, edge.names, deadline, route.repeat);
+        let repeat = route.repeat;
+        let writer = TargetRequest { head, body, names: edge.names, deadline, repeat };
         let guard = CallGuard {
             pools: Rc::clone(&edge.pools),
             inbox: Rc::default(),
             links: Rc::default(),
-            repeat: route.repeat,
+            repeat,
             is_done: Cell::new(false),
         };
         Self {
@@ -172,15 +194,24 @@
             profile,
             request_id,
             is_part,
-            is_head: &request.head.method[..] == b"HEAD",
+            is_head,
             writer: Rc::new(writer),
             guard,
             answers: Vec::new(),
             failure: None,
             notes: Vec::new(),
+            outside: None,
+            merged: None,
+            steps: String::new(),
         }
     }
 
+    /// Leaves some shards to another instance.
+    pub(super) fn leave_outside(&mut self, part: OutsidePart) {
+        self.run.leave_outside(&part.places);
+        self.outside = Some(part.end);
+    }
+
     /// Runs the request to its end.
     pub(super) async fn run(mut self) -> ForwardEnd {
         let started = self.run.start(self.now(), &mut *self.edge.rng.borrow_mut());
@@ -195,6 +226,7 @@
             tokio::select! {
                 biased;
                 () = inbox.arrived.notified() => self.take_reports(),
+                report = wait_outside(&mut self.outside) => self.take_outside(report),
                 () = sleep_until(timer) => {
                     let now = self.now();
                     let due = self.run.handle_timer(now, &mut *self.edge.rng.borrow_mut());
@@ -213,6 +245,25 @@
             answers: std::mem::take(&mut self.answers),
             failure: self.failure.take(),
             notes: std::mem::take(&mut self.notes),
+            merged: self.merged.take(),
+            handover: std::mem::take(&mut self.steps),
+        }
+    }
+
+    fn take_outside(&mut self, report: HandoverReport) {
+        self.outside = None;
+        self.steps = report.steps;
+        match report.end {
+            Some(HandoverEnd::Answered(merged)) => {
+                self.run.handle_outside(merged.missing);
+                self.merged = Some(merged);
+            }
+            Some(HandoverEnd::Failed(_) | HandoverEnd::Lost) => self.run.handle_outside(usize::MAX),
+            None => {
+                let now = self.now();
+                let sent = self.run.take_back(now, &mut *self.edge.rng.borrow_mut());
+                self.send_all(sent);
+            }
         }
     }
 
@@ -281,3 +332,13 @@
         self.edge.clock.now()
     }
 }
+
+/// Waits for the end of the part that was left to another instance; forever where there is none.
+async fn wait_outside(
+    outside: &mut Option<LocalFuture<'static, HandoverReport>>,
+) -> HandoverReport {
+    match outside {
+        Some(end) => end.await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -2,22 +2,21 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use figglade::{
     Timestamp,
-    controller::route_set::{CallerLimits, Destination, RouteSetVersion, RouteSpec, ShardPlan},
-    filter::{
-        ranked::merge_ranked,
-        scatter::{FailureReason, ScatterEnd},
-    },
+    controller::route_set::{CallerLimits, Destination, RouteSetVersion, RouteSpec},
+    filter::scatter::{FailureReason, ScatterEnd},
 };
 use rand::RngExt;
 
 use super::{
-    answer::TargetAnswer,
+    answer::{TargetAnswer, merge_answers},
     edge::EdgeState,
-    forward::{ForwardCall, ForwardEnd},
+    forward::{ForwardCall, ForwardEnd, ForwardOrder, write_head},
+    handover::{HandoverEnd, SearchHandover},
     request_log::{AttemptNote, RequestNote},
+    search_message::MergedAnswer,
 };
 use crate::http1::{
     HttpHandler, HttpRequest, HttpResponse, LocalFuture, ServerPhase, StopSwitch, text_field,
@@ -39,20 +38,24 @@
 const LEARN_SPREAD: Duration = Duration::from_millis(400);
 /// The longest a caller is kept waiting where neither it nor its route says.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// The time that an answer needs to the caller and the request needed from it, with a new
+/// connection; the instance sees neither.
+const TRAVEL_TIME: Duration = Duration::from_millis(14);
 /// How much earlier than the deadline of a caller it is answered, so that the answer still arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(8);
 
 /// Answers callers from the state of the data path.
 pub struct RelayHandler {
     edge: Rc<EdgeState>,
+    handover: Rc<SearchHandover>,
     active: Cell<usize>,
 }
 
 /// Counts a request while it is served.
-struct ActiveCount<'a>(&'a Cell<usize>);
+pub(super) struct ActiveCount<'a>(&'a Cell<usize>);
 
 impl<'a> ActiveCount<'a> {
-    fn start(count: &'a Cell<usize>) -> Self {
+    pub(super) fn start(count: &'a Cell<usize>) -> Self {
         count.update(|held| held + 1);
         Self(count)
     }
@@ -71,18 +74,27 @@
     missing: usize,
     attempts: Vec<AttemptNote>,
     unasked: String,
+    /// The aggregators asked and what came of it.
+    handover: String,
 }
 
 impl RequestEnd {
     const fn plain(response: HttpResponse, outcome: &'static str) -> Self {
-        Self { response, outcome, missing: 0, attempts: Vec::new(), unasked: String::new() }
+        Self {
+            response,
+            outcome,
+            missing: 0,
+            attempts: Vec::new(),
+            unasked: String::new(),
+            handover: String::new(),
+        }
     }
 }
 
 impl RelayHandler {
     /// Builds the handler.
-    pub const fn new(edge: Rc<EdgeState>) -> Self {
-        Self { edge, active: Cell::new(0) }
+    pub const fn new(edge: Rc<EdgeState>, handover: Rc<SearchHandover>) -> Self {
+        Self { edge, handover, active: Cell::new(0) }
     }
 
     async fn answer(&self, request: HttpRequest) -> HttpResponse {
@@ -109,10 +121,30 @@
         }
         let _active = ActiveCount::start(&self.active);
         let spent = self.edge.profile_of(route).spent_before(wait);
-        let call =
-            ForwardCall::new(&self.edge, route, &request, id.clone(), spent, arrived, deadline);
-        let forwarded = call.run().await;
-        let end = self.conclude(route, forwarded);
+        let order = ForwardOrder {
+            head: write_head(&request, &self.edge.names),
+            body: request.body,
+            is_head: &request.head.method[..] == b"HEAD",
+            request_id: id.clone(),
+            arrived,
+            goal: (arrived + route.latency_goal) - spent - TRAVEL_TIME,
+            deadline,
+        };
+        let report = self.handover.hand_over(route, &order).await;
+        let mut end = match report.end {
+            Some(end) => self.conclude_handover(end),
+            None => {
+                let outside = self.handover.split_off(route, &order);
+                let mut call = ForwardCall::new(&self.edge, route, order);
+                if let Some(part) = outside {
+                    call.leave_outside(part);
+                }
+                self.conclude(route, call.run().await)
+            }
+        };
+        if end.handover.is_empty() {
+            end.handover = report.steps;
+        }
         self.finish(end, Some(route), version, id.as_ref(), arrived, deadline)
     }
 
@@ -150,12 +182,10 @@
     }
 
     fn conclude(&self, route: &RouteSpec, forwarded: ForwardEnd) -> RequestEnd {
-        let ForwardEnd { end, answers, failure, notes, unasked } = forwarded;
+        let ForwardEnd { end, answers, failure, notes, unasked, merged, handover } = forwarded;
         let mut concluded = match (end, &route.destination) {
             (ScatterEnd::Answered { missing }, Destination::Shards(plan)) => {
-                let response = self.merge(plan, &answers, missing);
-                let outcome = if missing == 0 { "complete" } else { "partial" };
-                RequestEnd { missing, ..RequestEnd::plain(response, outcome) }
+                self.conclude_search(merge_answers(plan, &answers, merged.as_ref(), missing))
             }
             (ScatterEnd::Answered { .. }, _) => match answers.into_iter().next() {
                 Some(answer) => RequestEnd::plain(relay_answer(answer), "answered"),
@@ -168,6 +198,7 @@
         };
         concluded.attempts = notes;
         concluded.unasked = unasked;
+        concluded.handover = handover;
         concluded
     }
 
@@ -188,20 +219,23 @@
         }
     }
 
-    /// Merges the records of the shards that answered and names them by their proofs.
-    fn merge(&self, plan: &ShardPlan, answers: &[TargetAnswer], missing: usize) -> HttpResponse {
-        let body = merge_ranked(answers.iter().map(|answer| &answer.body[..]), plan.top_records);
-        let mut proofs = BytesMut::with_capacity(answers.len() * 40);
-        for proof in answers.iter().filter_map(|answer| answer.marks.proof.as_ref()) {
-            if !proofs.is_empty() {
-                proofs.put_slice(b", ");
-            }
-            proofs.put_slice(proof);
+    /// Concludes a search that an aggregator took. Whether one that was lost has run is unknown.
+    fn conclude_handover(&self, end: HandoverEnd) -> RequestEnd {
+        match end {
+            HandoverEnd::Answered(merged) => self.conclude_search(merged),
+            HandoverEnd::Failed(reason) => self.conclude_failure(reason, None),
+            HandoverEnd::Lost => self.conclude_failure(FailureReason::Unknown, None),
         }
+    }
+
+    fn conclude_search(&self, merged: MergedAnswer) -> RequestEnd {
+        let MergedAnswer { proofs, missing, records } = merged;
         let names = self.edge.names;
-        HttpResponse { status: 200, headers: Vec::new(), body }
-            .with(text_field(names.shard_proofs, proofs.freeze()))
-            .with(text_field(names.missing_shards, missing.to_string()))
+        let response = HttpResponse { status: 200, headers: Vec::new(), body: records }
+            .with(text_field(names.shard_proofs, proofs))
+            .with(text_field(names.missing_shards, missing.to_string()));
+        let outcome = if missing == 0 { "complete" } else { "partial" };
+        RequestEnd { missing, ..RequestEnd::plain(response, outcome) }
     }
 
     fn finish(
@@ -233,6 +267,7 @@
             deadline,
             attempts: &end.attempts,
             unasked: &end.unasked,
+            handover: &end.handover,
         };
         self.edge.request_log.note(&note, now);
         end.response
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -37,6 +37,7 @@
     requests: RefCell<BTreeMap<(&'static str, &'static str), LatencyHistogram>>,
     attempts: RefCell<BTreeMap<String, u64>>,
     ends: RefCell<BTreeMap<String, u64>>,
+    handovers: RefCell<BTreeMap<&'static str, u64>>,
     missing_shards: Cell<u64>,
     open_connections: Cell<usize>,
     made_connections: Cell<u64>,
@@ -63,6 +64,11 @@
         *self.ends.borrow_mut().entry(end.to_string()).or_default() += 1;
     }
 
+    /// Counts a search that was to be handed to an aggregator.
+    pub(super) fn count_handover(&self, end: &'static str) {
+        *self.handovers.borrow_mut().entry(end).or_default() += 1;
+    }
+
     pub(super) fn note_connections(&self, open: usize, made: u64) {
         self.open_connections.set(open);
         self.made_connections.set(made);
@@ -102,6 +108,11 @@
         for (end, count) in self.ends.borrow().iter() {
             writeln!(out, "figglade_relay_attempt_ends_total{{end=\"{end}\"}} {count}")?;
         }
+        writeln!(out, "# HELP figglade_relay_handovers_total Searches handed to aggregators.")?;
+        writeln!(out, "# TYPE figglade_relay_handovers_total counter")?;
+        for (end, count) in self.handovers.borrow().iter() {
+            writeln!(out, "figglade_relay_handovers_total{{end=\"{end}\"}} {count}")?;
+        }
         let gauges = [
             (
                 "missing_shards_total",
--- a/crates/figgladed/src/relay/request_log.rs
+++ b/crates/figgladed/src/relay/request_log.rs
@@ -55,6 +55,8 @@
     pub(super) deadline: Timestamp,
     pub(super) attempts: &'a [AttemptNote],
     pub(super) unasked: &'a str,
+    /// The aggregators that were asked, or the instance that handed the request over.
+    pub(super) handover: &'a str,
 }
 
 /// Writes one line for a request, as far as the bound allows.
@@ -100,7 +102,8 @@
             "elapsed_ms" => now.since(note.arrived).as_millis() as u64,
             "left_ms" => note.deadline.since(now).as_millis() as u64,
             "sampled_1_in" => if is_ordinary { SAMPLE_EVERY } else { 1 },
-            "attempts" => attempts.join("; "), "unasked" => note.unasked);
+            "attempts" => attempts.join("; "), "unasked" => note.unasked,
+            "handover" => note.handover);
     }
 
     fn has_room(&self, now: Timestamp) -> bool {
--- /dev/null
+++ b/crates/figgladed/src/relay/search_message.rs
@@ -0,0 +1,119 @@
+//! What instances say to each other about searches that one scatters for another.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use figglade::{
+    filter::scatter::FailureReason,
+    peer::{CodecError, FrameKind, PeerFrame, decode_payload, encode_compact},
+};
+use serde::{Deserialize, Serialize};
+
+/// Names the shards of a search, so that both sides mean the same ones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearchPlan {
+    /// The route.
+    pub route: String,
+    /// The digest of its shards and of how their records are merged.
+    pub digest: u64,
+}
+
+/// A search as it is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearchRun {
+    /// The shards.
+    pub plan: SearchPlan,
+    /// The positions of the shards that are wanted; all where there are none.
+    pub shards: Vec<u32>,
+    /// The fewest shards that make an answer once the goal has passed.
+    pub least_answers: u32,
+    /// The identifier of the request.
+    pub request_id: Option<Bytes>,
+    /// The head for the targets, without the headers that differ between them.
+    pub head: Bytes,
+    /// The body for the targets.
+    pub body: Bytes,
+    /// Whether the answers have no body.
+    pub is_head: bool,
+    /// The time until the answer should be back.
+    pub goal_left: Duration,
+    /// The time until the answer must be back.
+    pub deadline_left: Duration,
+}
+
+/// A message to an aggregator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearchMessage {
+    /// Asks whether it would take a search now; nothing runs yet.
+    Probe(SearchPlan),
+    /// Hands a search over.
+    Run(SearchRun),
+}
+
+/// The reason an aggregator does not take a search.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display(rename_all = "snake_case")]
+pub enum DeclineReason {
+    /// It does not hold the same shards for the route.
+    OtherPlan,
+    /// It scatters too many searches.
+    Busy,
+    /// It is about to stop.
+    Stopping,
+}
+
+/// The records of the shards that answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MergedAnswer {
+    /// The proofs of the shards, separated by commas.
+    pub proofs: Bytes,
+    /// The shards without an answer.
+    pub missing: usize,
+    /// The records.
+    pub records: Bytes,
+}
+
+/// The answer of an aggregator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearchReply {
+    /// It takes a search now.
+    Ready,
+    /// It does not; nothing ran.
+    Declined(DeclineReason),
+    /// The search was answered.
+    Answered(MergedAnswer),
+    /// The search has no answer.
+    Failed(FailureReason),
+}
+
+impl SearchMessage {
+    /// Encodes the message for a link.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the codec refuses a value.
+    pub fn to_frame(&self) -> Result<PeerFrame, CodecError> {
+        Ok(PeerFrame { kind: FrameKind::Search, payload: encode_compact(self)? })
+    }
+}
+
+impl SearchReply {
+    /// Encodes the answer for a link.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the codec refuses a value.
+    pub fn to_frame(&self) -> Result<PeerFrame, CodecError> {
+        Ok(PeerFrame { kind: FrameKind::Search, payload: encode_compact(self)? })
+    }
+
+    /// Decodes the answer of a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the payload is cut short or holds another type.
+    pub fn from_frame(frame: &PeerFrame) -> Result<Self, CodecError> {
+        decode_payload(&frame.payload)
+    }
+}
--- a/crates/figgladed/tests/peer_link_transport.rs
+++ b/crates/figgladed/tests/peer_link_transport.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{Read, Write},
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -33,6 +36,16 @@
 /// Hands frames to the test; answers calls by what their payload asks.
 struct TestHandler {
     frames: mpsc::UnboundedSender<(PeerSender, PeerFrame)>,
+    running: Arc<AtomicUsize>,
+}
+
+/// Counts a call while its handler runs.
+struct RunningCall(Arc<AtomicUsize>);
+
+impl Drop for RunningCall {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl PeerHandler for TestHandler {
@@ -46,8 +59,11 @@
         from: PeerSender,
         frame: PeerFrame,
     ) -> BoxFuture<Result<PeerFrame, CallRefusal>> {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        let running = RunningCall(Arc::clone(&self.running));
         self.handle_frame(from, frame.clone());
         Box::pin(async move {
+            let _running = running;
             match &frame.payload[..] {
                 b"refuse" => Err(CallRefusal::Refused { reason: "no".to_owned() }),
                 b"hang" => std::future::pending().await,
@@ -61,6 +77,8 @@
 struct TestPeer {
     transport: PeerTransport,
     frames: mpsc::UnboundedReceiver<(PeerSender, PeerFrame)>,
+    /// The calls whose handlers run.
+    running: Arc<AtomicUsize>,
 }
 
 impl TestPeer {
@@ -75,10 +93,11 @@
             PeerOptions::new(listen, id.parse().unwrap(), Incarnation::new(1), Some(keys));
         change(&mut options);
         let (sender, frames) = mpsc::unbounded_channel();
-        let handler = Arc::new(TestHandler { frames: sender });
+        let running = Arc::new(AtomicUsize::new(0));
+        let handler = Arc::new(TestHandler { frames: sender, running: Arc::clone(&running) });
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let transport = PeerTransport::start(options, handler, logger).await.unwrap();
-        Self { transport, frames }
+        Self { transport, frames, running }
     }
 
     fn address(&self) -> SocketAddr {
@@ -297,6 +316,28 @@
     assert!(answer.is_ok(), "ended calls make room: {answer:?}");
 }
 
+#[tokio::test]
+async fn a_call_whose_caller_left_is_cancelled_at_the_peer() {
+    let a = TestPeer::start("a").await;
+    let mut b = TestPeer::start("b").await;
+    let handle = a.transport.handle();
+    let to = b.address();
+    let call =
+        tokio::spawn(
+            async move { handle.call(to, frame(FrameKind::Control, "hang"), PATIENCE).await },
+        );
+    assert_eq!(b.next_frame().await.1.payload, "hang");
+    assert_eq!(b.running.load(Ordering::SeqCst), 1);
+    call.abort();
+    let cancelled = async {
+        while b.running.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, cancelled).await.expect("the handler is dropped");
+    assert!(a.call(b.address(), "x", 10_000).await.is_ok(), "the link goes on");
+}
+
 #[tokio::test]
 async fn dead_connection_is_given_up_after_a_call_without_answer() {
     let limits = PeerLimits { ping_timeout: Duration::from_secs(1), ..PeerLimits::default() };
