Wait for shards that a search cannot do without, and pack route sets

With 35 of 36 shards needed, giving one shard up gives the search up while the answers of all others are on their way.

Change: - A shard whose loss would fail the search waits for a connection, and its targets that took nothing are tried again, until the deadline. - A target that turned a connection away is used over the connections it has for 250 ms, instead of being asked for more. - A search that an aggregator could not start is scattered by the instance that took it; nothing has run. - Route sets are packed once, where they come in, and are kept and sent packed (under a fifth of a like text in the test).

Ruled out: more connections for aggregators, which would pass the cap.

Tests: three in tests/scatter_rules.rs and two in tests/route_set.rs; the first of them was seen to fail without the wait.

--- a/crates/figglade/src/controller/route_set/mod.rs
+++ b/crates/figglade/src/controller/route_set/mod.rs
@@ -12,7 +12,9 @@
 pub use crate::RouteSetVersion;
 
 pub use self::{
-    book::{MAX_ROUTE_DOCUMENT_BYTES, RouteBook, RouteDocument, RoutePut, RouteReply},
+    book::{
+        MAX_ROUTE_DOCUMENT_BYTES, PackingError, RouteBook, RouteDocument, RoutePut, RouteReply,
+    },
     check::{RouteSetError, check_routes},
     table::RouteTable,
     types::{
--- a/crates/figglade/src/filter/scatter/choice.rs
+++ b/crates/figglade/src/filter/scatter/choice.rs
@@ -74,15 +74,11 @@
 pub(super) fn is_any_busy(replicas: &[Rc<ReplicaState>], now: Timestamp) -> bool {
     let mut reached =
         replicas.iter().filter(|replica| replica.is_usable.get() && !replica.is_ejected(now));
-    reached.any(|replica| !has_room(replica))
+    reached.any(|replica| !replica.has_room(now))
 }
 
 fn can_take(replica: &ReplicaState, now: Timestamp) -> bool {
-    replica.is_usable.get() && has_room(replica) && !replica.is_ejected(now)
-}
-
-fn has_room(replica: &ReplicaState) -> bool {
-    replica.in_flight() < replica.connection_limit.get() as usize
+    replica.is_usable.get() && replica.has_room(now) && !replica.is_ejected(now)
 }
 
 fn grade_replica(replica: &ReplicaState, now: Timestamp) -> ReplicaGrade {
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -127,6 +127,10 @@
     learned_at: Cell<Timestamp>,
     unreached: Cell<u32>,
     ejected_until: Cell<Timestamp>,
+    /// Until when it accepts no more connections than it has.
+    full_until: Cell<Timestamp>,
+    /// The connections that it has then.
+    held_connections: Cell<u32>,
 }
 
 impl ReplicaState {
@@ -149,6 +153,8 @@
             learned_at: Cell::default(),
             unreached: Cell::new(0),
             ejected_until: Cell::default(),
+            full_until: Cell::default(),
+            held_connections: Cell::new(0),
         }
     }
 
@@ -206,6 +212,21 @@
         self.ejected_until.set(now + period);
     }
 
+    /// Notes that the target turned a new connection away: until `until`, attempts use the
+    /// `held` connections that there are.
+    pub fn note_full(&self, held: u32, until: Timestamp) {
+        self.held_connections.set(held);
+        self.full_until.set(until);
+    }
+
+    /// Returns whether another attempt finds a connection.
+    pub fn has_room(&self, now: Timestamp) -> bool {
+        let limit = self.connection_limit.get();
+        let is_full = now < self.full_until.get();
+        let limit = if is_full { limit.min(self.held_connections.get()) } else { limit };
+        self.in_flight() < limit as usize
+    }
+
     /// Returns whether the target is left out for now.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
         now < self.ejected_until.get()
--- a/crates/figglade/src/filter/scatter/run.rs
+++ b/crates/figglade/src/filter/scatter/run.rs
@@ -23,9 +23,11 @@
 /// the request does not count towards those it ran at.
 const EXTRA_AFTER_REFUSAL: u32 = 2;
 /// The connections that may fail for one shard before it is given up; nothing was sent on them.
-const MAX_UNSENT: u32 = 4;
+const MAX_UNSENT: u32 = 8;
 /// How long a first attempt that found every connection busy waits for another look.
 const BUSY_RECHECK: Duration = Duration::from_millis(5);
+/// How long a shard waits whose targets turned every connection away, before they are tried again.
+const UNSENT_RECHECK: Duration = Duration::from_millis(25);
 /// How long a hedge that found no target or no budget waits for another look.
 const HEDGE_RECHECK: Duration = Duration::from_millis(10);
 
@@ -177,6 +179,10 @@
     slot: usize,
     replica: Rc<ReplicaState>,
     is_open: bool,
+    /// Whether nothing was sent.
+    is_unsent: bool,
+    /// Whether the target may be asked again.
+    is_retried: bool,
 }
 
 /// One request on its way to one target of each of its services.
@@ -304,7 +310,7 @@
             self.close_slot(slot, SlotStatus::Answered);
             return true;
         }
-        self.count_end(slot, end);
+        self.count_end(slot, attempt, end);
         self.follow_failure(slot, end, now, rng, actions);
         false
     }
@@ -370,12 +376,18 @@
         reasons.max_by_key(gravity).unwrap_or(FailureReason::NotRun)
     }
 
-    fn count_end(&mut self, slot: usize, end: AttemptEnd) {
+    fn count_end(&mut self, slot: usize, attempt: usize, end: AttemptEnd) {
         let is_repeatable = self.rules.repeat == RepeatRule::Idempotent;
         let held = &mut self.slots[slot];
         match end {
-            AttemptEnd::TurnedAway if is_repeatable => held.unsent += 1,
-            AttemptEnd::NotSent => held.unsent += 1,
+            AttemptEnd::TurnedAway if is_repeatable => {
+                held.unsent += 1;
+                self.attempts[attempt].is_unsent = true;
+            }
+            AttemptEnd::NotSent => {
+                held.unsent += 1;
+                self.attempts[attempt].is_unsent = true;
+            }
             AttemptEnd::Refused | AttemptEnd::Misdirected => held.refusals += 1,
             AttemptEnd::TurnedAway
             | AttemptEnd::Answered
@@ -406,6 +418,10 @@
         if self.slots[slot].open_attempts > 0 {
             return;
         }
+        if is_free && may_repeat && self.may_send(slot) && self.is_needed(slot, now) {
+            self.retry_later(slot, now);
+            return;
+        }
         let reason = match end {
             AttemptEnd::Failed => FailureReason::Failed,
             AttemptEnd::TurnedAway => FailureReason::Unknown,
@@ -415,8 +431,25 @@
         self.close_slot(slot, SlotStatus::Missing(reason));
     }
 
+    /// Returns whether a search fails without the service, and has time left to wait for it: a late
+    /// answer is better than none.
+    fn is_needed(&self, slot: usize, now: Timestamp) -> bool {
+        let is_open = self.slots[slot].status == SlotStatus::Open;
+        let others = self.answered + self.open - usize::from(is_open);
+        self.slots.len() > 1 && others < self.rules.least_answers && now < self.rules.times.deadline
+    }
+
+    /// Tries the targets of a service again that nothing was sent to.
+    fn retry_later(&mut self, slot: usize, now: Timestamp) {
+        for held in self.attempts.iter_mut().filter(|held| held.slot == slot) {
+            held.is_retried = held.is_unsent;
+        }
+        self.slots[slot].was_sent = false;
+        self.slots[slot].hedge_at = Some(now + UNSENT_RECHECK);
+    }
+
     /// Sends the first attempt. Where every connection is busy it waits for one for a while; after
-    /// that the caller is better served by a refusal.
+    /// that the caller is better served by a refusal, unless the other shards are on their way.
     fn send_first(
         &mut self,
         slot: usize,
@@ -428,7 +461,7 @@
             return;
         }
         let is_busy = is_any_busy(&self.slots[slot].service.replicas.borrow(), now);
-        if is_busy && now < self.rules.wait_until {
+        if is_busy && (now < self.rules.wait_until || self.is_needed(slot, now)) {
             self.slots[slot].hedge_at = Some(now + BUSY_RECHECK);
         } else {
             self.close_slot(slot, SlotStatus::Missing(FailureReason::NotRun));
@@ -472,14 +505,22 @@
         let service = Rc::clone(&self.slots[slot].service);
         let tried = |replica: &ReplicaState| {
             let mut attempts = self.attempts.iter();
-            attempts.any(|held| held.slot == slot && held.replica.spec.id == replica.spec.id)
+            attempts.any(|held| {
+                held.slot == slot && !held.is_retried && held.replica.spec.id == replica.spec.id
+            })
         };
         let Some(replica) = service.choose(tried, purpose, now, rng) else { return false };
         if kind != AttemptKind::First && !service.try_spend(now) {
             return false;
         }
         let attempt = self.attempts.len();
-        self.attempts.push(SlotAttempt { slot, replica: Rc::clone(&replica), is_open: true });
+        self.attempts.push(SlotAttempt {
+            slot,
+            replica: Rc::clone(&replica),
+            is_open: true,
+            is_unsent: false,
+            is_retried: false,
+        });
         let held = &mut self.slots[slot];
         held.open_attempts += 1;
         held.was_sent = true;
--- a/crates/figglade/tests/route_set.rs
+++ b/crates/figglade/tests/route_set.rs
@@ -2,16 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use figglade::{
     WallTime,
     controller::{
         ledger::{Ledger, LedgerCommand, LedgerReply},
         quorum::LogIndex,
         route_set::{
-            CallerLimits, Destination, RepeatRule, RouteBook, RouteDocument, RoutePut, RouteSet,
-            RouteSetError, RouteSetVersion, RouteSpec, RouteTable, ServiceSpec, ShardPlan,
-            WeightedService, check_routes,
+            CallerLimits, Destination, MAX_ROUTE_DOCUMENT_BYTES, RepeatRule, RouteBook,
+            RouteDocument, RoutePut, RouteSet, RouteSetError, RouteSetVersion, RouteSpec,
+            RouteTable, ServiceSpec, ShardPlan, WeightedService, check_routes,
         },
     },
 };
@@ -121,10 +120,7 @@
 }
 
 fn document(version: u64, text: &'static str) -> RouteDocument {
-    RouteDocument {
-        version: RouteSetVersion::new(version),
-        text: Bytes::from_static(text.as_bytes()),
-    }
+    RouteDocument::pack(RouteSetVersion::new(version), text.as_bytes())
 }
 
 #[test]
@@ -165,3 +161,31 @@
     let command = LedgerCommand::PutRoutes(put);
     assert!(command.has_plausible_wall(WallTime::from_millis(1_000_000_000)));
 }
+
+#[test]
+fn a_packed_document_is_read_as_it_was_sent() {
+    let services: Vec<_> = (0..54).map(|shard| format!("\"huvo{shard}a\"")).collect();
+    let route = format!("{{\"gather\":[{}],\"maxAttempts\":2}},", services.join(","));
+    let text = route.repeat(30);
+    let document = RouteDocument::pack(RouteSetVersion::new(7), text.as_bytes());
+    assert_eq!(document.unpack().unwrap(), text.as_bytes());
+    assert!(document.packed_len() * 5 < text.len(), "{} of {}", document.packed_len(), text.len());
+    for odd in ["", "{}", "\u{0}\u{1}"] {
+        let document = RouteDocument::pack(RouteSetVersion::new(1), odd.as_bytes());
+        assert_eq!(document.unpack().unwrap(), odd.as_bytes());
+    }
+}
+
+#[test]
+fn a_document_of_an_earlier_release_is_plain_and_a_damaged_one_is_an_error() {
+    let plain: RouteDocument =
+        serde_json::from_str(r#"{"version":3,"text":[123,125]}"#).expect("without the new field");
+    assert_eq!(&plain.unpack().unwrap()[..], b"{}");
+    let damaged: RouteDocument =
+        serde_json::from_str(r#"{"version":3,"text":[255,255,255],"is_packed":true}"#).unwrap();
+    let error = damaged.unpack().unwrap_err().to_string();
+    assert!(error.contains("route set 3"), "{error}");
+    let zeros = vec![0; MAX_ROUTE_DOCUMENT_BYTES + 1];
+    let error = RouteDocument::pack(RouteSetVersion::new(4), &zeros).unpack().unwrap_err();
+    assert!(error.to_string().contains("at most"), "{error}");
+}
--- a/crates/figglade/tests/scatter_rules.rs
+++ b/crates/figglade/tests/scatter_rules.rs
@@ -372,3 +372,47 @@
     }
     assert_eq!(run.end(at(30)), Some(ScatterEnd::Answered { missing: 0 }));
 }
+
+#[test]
+fn a_search_waits_for_a_shard_that_it_cannot_do_without() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut run = wide_run(4);
+    let started = run.start(at(0), &mut rng);
+    let mut actions = Vec::new();
+    for attempt in 1..4 {
+        run.handle_end(attempt, AttemptEnd::Answered, at(5), &mut rng, &mut actions);
+    }
+    // Both targets of the first shard turn every connection away.
+    run.handle_end(0, AttemptEnd::TurnedAway, at(5), &mut rng, &mut actions);
+    run.handle_end(started.len(), AttemptEnd::NotSent, at(6), &mut rng, &mut actions);
+    assert_eq!(run.end(at(6)), None, "three shards have answered already");
+    let again = run.handle_timer(run.next_timer(at(6)), &mut rng);
+    assert_eq!(again.len(), 1, "the targets are tried again");
+    run.handle_end(started.len() + 1, AttemptEnd::Answered, at(60), &mut rng, &mut actions);
+    assert_eq!(run.end(at(60)), Some(ScatterEnd::Answered { missing: 0 }));
+}
+
+#[test]
+fn a_search_gives_a_shard_up_that_it_can_do_without() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut run = wide_run(3);
+    let started = run.start(at(0), &mut rng);
+    let mut actions = Vec::new();
+    for attempt in 1..4 {
+        run.handle_end(attempt, AttemptEnd::Answered, at(5), &mut rng, &mut actions);
+    }
+    run.handle_end(0, AttemptEnd::TurnedAway, at(5), &mut rng, &mut actions);
+    run.handle_end(started.len(), AttemptEnd::NotSent, at(6), &mut rng, &mut actions);
+    assert_eq!(run.end(at(6)), Some(ScatterEnd::Answered { missing: 1 }));
+}
+
+#[test]
+fn a_target_that_turns_connections_away_is_used_over_those_it_has() {
+    let replica = ReplicaState::new(spec("t", true), 6);
+    assert!(replica.has_room(at(0)));
+    replica.note_full(1, at(250));
+    assert!(replica.has_room(at(10)));
+    replica.begin_attempt(Duration::from_millis(10), Duration::from_millis(20), at(10));
+    assert!(!replica.has_room(at(20)), "the one connection is busy");
+    assert!(replica.has_room(at(250)), "then new ones are tried again");
+}
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -161,7 +161,11 @@
         if self.edge.route_version().is_some_and(|held| held >= document.version) {
             return;
         }
-        match self.codec.decode_routes(&document.text) {
+        let decoded = document
+            .unpack()
+            .map_err(|error| error.to_string())
+            .and_then(|text| self.codec.decode_routes(&text).map_err(|error| error.to_string()));
+        match decoded {
             Ok(set) => self.edge.adopt_routes(set),
             // Every document was checked before it was put.
             Err(reason) => error!(self.log, "hub: a committed route set cannot be used";
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -45,11 +45,13 @@
             let standing = self.describe_standing(&state, true, request.aggregators, now);
             return self.send(from, HubMessage::Standing(standing));
         }
+        let known_hubs = state.peers.addresses().filter(|hub| hub.zone.is_some()).count();
         let follower = state.followers.entry(from).or_default();
         follower.heard_at = now;
         follower.polls += 1;
         follower.member = request.zone.clone().map(|zone| (zone, request.cores));
-        let names_hubs = request.is_new || follower.polls % HUB_LIST_POLLS == 1;
+        let has_news = std::mem::replace(&mut follower.told_hubs, known_hubs) != known_hubs;
+        let names_hubs = request.is_new || has_news || follower.polls % HUB_LIST_POLLS == 1;
         let is_free = follower.routes_sent_at.is_none_or(|at| now.since(at) >= ROUTES_PERIOD);
         if let Some(routes) = routes.filter(|_| is_behind && (is_free || request.is_new)) {
             follower.routes_sent_at = Some(now);
--- a/crates/figgladed/src/hub/peers.rs
+++ b/crates/figgladed/src/hub/peers.rs
@@ -164,6 +164,8 @@
     pub(super) watch: DigestWatch,
     pub(super) polls: u32,
     pub(super) routes_sent_at: Option<Timestamp>,
+    /// The hubs with a known zone that it was last told.
+    pub(super) told_hubs: usize,
     /// Its availability zone and its processor time, once it said so.
     pub(super) member: Option<(ZoneName, CoreShare)>,
 }
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -168,6 +168,7 @@
     let mut options = PeerOptions::new(settings.peer, settings.id.clone(), incarnation, None);
     options.limits = PeerLimits {
         stall_timeout: STALL_TIMEOUT,
+        ping_timeout: STALL_TIMEOUT,
         handshake_timeout: HANDSHAKE_TIMEOUT,
         max_backoff: MAX_BACKOFF,
         ..PeerLimits::default()
--- a/crates/figgladed/src/relay/handover.rs
+++ b/crates/figgladed/src/relay/handover.rs
@@ -103,6 +103,9 @@
     /// It says so.
     #[display("{_0}")]
     Declined(DeclineReason),
+    /// It reaches too few targets; nothing was sent to any.
+    #[display("not_run")]
+    NotRun,
     /// It did not answer in time, or not as it should.
     #[display("{_0}")]
     Silent(String),
@@ -344,6 +347,7 @@
         };
         match asked {
             Ok(SearchReply::Answered(merged)) => Ok(HandoverEnd::Answered(merged)),
+            Ok(SearchReply::Failed(FailureReason::NotRun)) => Err(ProbeFailure::NotRun),
             Ok(SearchReply::Failed(reason)) => Ok(HandoverEnd::Failed(reason)),
             Ok(SearchReply::Declined(reason)) => Err(ProbeFailure::Declined(reason)),
             Ok(SearchReply::Ready) => Ok(HandoverEnd::Lost),
--- a/crates/figgladed/src/relay/pool.rs
+++ b/crates/figgladed/src/relay/pool.rs
@@ -51,6 +51,8 @@
 const FIRST_REST: Duration = Duration::from_millis(500);
 /// The longest such pause.
 const LONGEST_REST: Duration = Duration::from_secs(8);
+/// How long after it turned a connection away a target is taken to accept no more of them.
+const FULL_TIME: Duration = Duration::from_millis(250);
 /// How long the loser of a hedge may still answer before its connection is closed.
 const LOSER_GRACE: Duration = Duration::from_millis(400);
 
@@ -119,6 +121,8 @@
             self.useless.set(times + 1);
             let rest = FIRST_REST.saturating_mul(1 << times.min(8)).min(LONGEST_REST);
             self.rests_until.set(now + rest);
+            // The connection that ended is not among the open ones any more.
+            self.replica.note_full(self.open.borrow().len() as u32, now + FULL_TIME);
         }
     }
 
