--- a/crates/figgladed/src/relay/aggregate.rs
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -102,16 +102,16 @@
     }
 
     async fn scatter(&self, from: &PeerSender, run: SearchRun) -> SearchReply {
-        let arrived = self.edge.clock.now();
-        let (table, route) = match self.find_route(&run.plan) {
+        let (table, position) = match self.find_route(&run.plan) {
             Ok(found) => found,
             Err(reason) => return SearchReply::Declined(reason),
         };
-        let route = &table.set().routes[route];
+        let route = &table.set().routes[position];
         let Destination::Shards(plan) = &route.destination else {
             return SearchReply::Declined(DeclineReason::OtherPlan);
         };
         let _active = ActiveCount::start(&self.active);
+        let arrived = self.edge.clock.now();
         let order = ForwardOrder {
             head: run.head,
             body: run.body,
@@ -121,50 +121,43 @@
             goal: arrived + run.goal_left,
             deadline: arrived + run.deadline_left,
         };
-        let request_id = order.request_id.clone();
-        let deadline = order.deadline;
+        let (request_id, deadline) = (order.request_id.clone(), order.deadline);
         let forwarded = if run.shards.is_empty() {
-            let outside = self.handover.split_off(route, &order);
-            let mut call = ForwardCall::new(&self.edge, route, order);
-            if let Some(part) = outside {
-                call.leave_outside(part);
-            }
-            call.run().await
+            self.handover.forward(route, order).await
         } else {
             let all = self.edge.services_for(route);
             let wanted = run.shards.iter().filter_map(|place| all.get(*place as usize).cloned());
-            let least = run.least_answers as usize;
-            let services = wanted.collect();
+            let (services, least) = (wanted.collect(), run.least_answers as usize);
             ForwardCall::with_services(&self.edge, route, order, services, least).run().await
         };
-        let now = self.edge.clock.now();
         let (reply, outcome, missing) = match forwarded.end {
             ScatterEnd::Answered { missing } => {
                 let merged =
                     merge_answers(plan, &forwarded.answers, forwarded.merged.as_ref(), missing);
                 let outcome = if missing == 0 { "complete" } else { "partial" };
-                (SearchReply::Answered(merged), outcome, missing)
+                (SearchReply::Answered(merged), outcome.to_owned(), missing)
             }
-            ScatterEnd::Failed(reason) => (SearchReply::Failed(reason), "failed", 0),
+            ScatterEnd::Failed(reason) => (SearchReply::Failed(reason), reason.to_string(), 0),
         };
-        self.edge.metrics.count_request("aggregated", outcome, missing, now.since(arrived));
+        let now = self.edge.clock.now();
+        self.edge.metrics.count_request("aggregated", &outcome, missing, now.since(arrived));
         let id = request_id.as_deref().and_then(|id| std::str::from_utf8(id).ok());
-        self.edge.request_log.note(
-            &RequestNote {
-                request_id: id.unwrap_or_default(),
-                route: Some(route),
-                version: Some(table.set().version),
-                status: if matches!(reply, SearchReply::Answered(_)) { 200 } else { 503 },
-                outcome,
-                missing,
-                arrived,
-                deadline,
-                attempts: &forwarded.notes,
-                unasked: &forwarded.unasked,
-                handover: &format!("taken from {}; {}", from.id, forwarded.handover),
-            },
-            now,
-        );
+        let note = RequestNote {
+            request_id: id.unwrap_or_default(),
+            route: Some(route),
+            version: Some(table.set().version),
+            // What the caller gets, the instance decides that handed the search over.
+            status: 0,
+            is_answered: matches!(reply, SearchReply::Answered(_)),
+            outcome: &outcome,
+            missing,
+            arrived,
+            deadline,
+            attempts: &forwarded.notes,
+            unasked: &forwarded.unasked,
+            handover: &format!("taken from {}; {}", from.id, forwarded.handover),
+        };
+        self.edge.request_log.note(&note, now);
         reply
     }
 
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -13,7 +13,7 @@
 use super::{
     answer::{TargetAnswer, merge_answers},
     edge::EdgeState,
-    forward::{ForwardCall, ForwardEnd, ForwardOrder, write_head},
+    forward::{ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
     request_log::{AttemptNote, RequestNote},
     search_message::MergedAnswer,
@@ -133,14 +133,7 @@
         let report = self.handover.hand_over(route, &order).await;
         let mut end = match report.end {
             Some(end) => self.conclude_handover(end),
-            None => {
-                let outside = self.handover.split_off(route, &order);
-                let mut call = ForwardCall::new(&self.edge, route, order);
-                if let Some(part) = outside {
-                    call.leave_outside(part);
-                }
-                self.conclude(route, call.run().await)
-            }
+            None => self.conclude(route, self.handover.forward(route, order).await),
         };
         if end.handover.is_empty() {
             end.handover = report.steps;
@@ -261,6 +254,7 @@
             route,
             version,
             status: end.response.status,
+            is_answered: end.response.status < 400,
             outcome: end.outcome,
             missing: end.missing,
             arrived,
--- a/crates/figgladed/src/relay/handover.rs
+++ b/crates/figgladed/src/relay/handover.rs
@@ -14,7 +14,7 @@
 
 use super::{
     edge::EdgeState,
-    forward::ForwardOrder,
+    forward::{ForwardCall, ForwardEnd, ForwardOrder},
     search_message::{
         DeclineReason, MergedAnswer, SearchMessage, SearchPlan, SearchReply, SearchRun,
     },
@@ -195,9 +195,19 @@
         report
     }
 
+    /// Sends a request to its targets from here, but for the shards that another zone serves better.
+    pub(super) async fn forward(&self, route: &RouteSpec, order: ForwardOrder) -> ForwardEnd {
+        let outside = self.split_off(route, &order);
+        let mut call = ForwardCall::new(&self.edge, route, order);
+        if let Some(part) = outside {
+            call.leave_outside(part);
+        }
+        call.run().await
+    }
+
     /// Leaves the shards without a target in the own zone to an aggregator of a zone that has some:
     /// one merged answer crosses then, instead of all parts.
-    pub(super) fn split_off(&self, route: &RouteSpec, order: &ForwardOrder) -> Option<OutsidePart> {
+    fn split_off(&self, route: &RouteSpec, order: &ForwardOrder) -> Option<OutsidePart> {
         let digest = route.search_digest()?;
         let Destination::Shards(shards) = &route.destination else { return None };
         let coverage = self.edge.coverage_of(route);
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -34,7 +34,7 @@
 /// Counters and histograms, as text on request.
 #[derive(Debug, Default)]
 pub struct RelayMetrics {
-    requests: RefCell<BTreeMap<(&'static str, &'static str), LatencyHistogram>>,
+    requests: RefCell<BTreeMap<(&'static str, String), LatencyHistogram>>,
     attempts: RefCell<BTreeMap<String, u64>>,
     ends: RefCell<BTreeMap<String, u64>>,
     handovers: RefCell<BTreeMap<&'static str, u64>>,
@@ -48,11 +48,12 @@
     pub(super) fn count_request(
         &self,
         kind: &'static str,
-        outcome: &'static str,
+        outcome: &str,
         missing: usize,
         elapsed: Duration,
     ) {
-        self.requests.borrow_mut().entry((kind, outcome)).or_default().observe(elapsed);
+        let key = (kind, outcome.to_owned());
+        self.requests.borrow_mut().entry(key).or_default().observe(elapsed);
         self.missing_shards.update(|count| count + missing as u64);
     }
 
--- a/crates/figgladed/src/relay/request_log.rs
+++ b/crates/figgladed/src/relay/request_log.rs
@@ -48,7 +48,9 @@
     pub(super) request_id: &'a str,
     pub(super) route: Option<&'a RouteSpec>,
     pub(super) version: Option<RouteSetVersion>,
+    /// The status that the caller gets; 0 where another instance answers it.
     pub(super) status: u16,
+    pub(super) is_answered: bool,
     pub(super) outcome: &'a str,
     pub(super) missing: usize,
     pub(super) arrived: Timestamp,
@@ -82,7 +84,7 @@
     /// Logs the end of a request: every failure, refusal and partial answer up to the bound, and a
     /// sample of the rest.
     pub(super) fn note(&self, note: &RequestNote<'_>, now: Timestamp) {
-        let is_ordinary = note.status < 400 && note.missing == 0;
+        let is_ordinary = note.is_answered && note.missing == 0;
         if is_ordinary {
             let number = self.ordinary.get();
             self.ordinary.set(number + 1);
