Keep a lost answer apart from a full target, and a late word of another hub from doubt

Found by reading: the word of any hub, also one that was only asked at the start and has not joined the group yet, decided whether the instance counts as current; a late one made it doubt until the next poll.

Change: a target counts as full only if it ended a connection as soon as it was made and has others. What is current follows from the hub that is followed. Messages between hubs and followers are read without the fields that are new, as the peer protocol asks.

--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -213,10 +213,12 @@
     }
 
     /// Notes that the target turned a new connection away: until `until`, attempts use the
-    /// `held` connections that there are.
+    /// `held` connections that there are. Without any, only new ones can show whether it takes some.
     pub fn note_full(&self, held: u32, until: Timestamp) {
-        self.held_connections.set(held);
-        self.full_until.set(until);
+        if held > 0 {
+            self.held_connections.set(held);
+            self.full_until.set(until);
+        }
     }
 
     /// Returns whether another attempt finds a connection.
--- a/crates/figglade/tests/hub_chooser.rs
+++ b/crates/figglade/tests/hub_chooser.rs
@@ -83,3 +83,15 @@
     chooser.take_word(hub(1), true, at(1_410));
     assert_eq!(chooser.choose(at(1_800)), Some((hub(1), false)));
 }
+
+#[test]
+fn the_late_word_of_a_hub_that_was_only_asked_changes_nothing() {
+    let mut chooser = chooser(&[(1, "b"), (2, "a"), (3, "c")]);
+    chooser.choose(at(0));
+    chooser.take_word(hub(2), true, at(10));
+    chooser.choose(at(10));
+    assert!(chooser.is_current(at(20)));
+    chooser.take_word(hub(3), false, at(30));
+    assert!(chooser.is_current(at(40)), "the hub that is followed proved to be current");
+    assert_eq!(chooser.choose(at(40)).map(|(followed, _)| followed), Some(hub(2)));
+}
--- a/crates/figglade/tests/scatter_rules.rs
+++ b/crates/figglade/tests/scatter_rules.rs
@@ -410,6 +410,8 @@
 fn a_target_that_turns_connections_away_is_used_over_those_it_has() {
     let replica = ReplicaState::new(spec("t", true), 6);
     assert!(replica.has_room(at(0)));
+    replica.note_full(0, at(250));
+    assert!(replica.has_room(at(0)), "without a connection a new one must be tried");
     replica.note_full(1, at(250));
     assert!(replica.has_room(at(10)));
     replica.begin_attempt(Duration::from_millis(10), Duration::from_millis(20), at(10));
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -131,13 +131,15 @@
     fn take_standing(&self, from: SocketAddr, standing: HubStanding) {
         let now = self.clock.now();
         let is_trusted = standing.is_current && standing.is_synced;
-        {
+        let is_current = {
             let mut chooser = self.chooser.borrow_mut();
             chooser.learn_hubs(standing.hubs.into_iter());
             chooser.take_word(from, is_trusted, now);
-        }
+            // The word of a hub that was only asked, or is followed no more, says nothing here.
+            chooser.is_current(now)
+        };
         self.edge.adopt_aggregators(standing.aggregators);
-        self.edge.note_standing(standing.followers as usize, standing.is_current);
+        self.edge.note_standing(standing.followers as usize, is_current);
         self.compare_digests(from, standing.digest, now);
     }
 
--- a/crates/figgladed/src/hub/message.rs
+++ b/crates/figgladed/src/hub/message.rs
@@ -42,10 +42,13 @@
     /// Whether it only wants to know how the hub stands, and a newer route set.
     pub is_probe: bool,
     /// Its availability zone.
+    #[serde(default)]
     pub zone: Option<ZoneName>,
     /// The processor time that it has.
+    #[serde(default)]
     pub cores: CoreShare,
     /// The digest of the aggregators that it knows.
+    #[serde(default)]
     pub aggregators: u64,
 }
 
@@ -63,6 +66,7 @@
     /// The instances that follow any hub.
     pub followers: u32,
     /// The aggregators, where the follower knows others.
+    #[serde(default)]
     pub aggregators: Vec<AggregatorAddress>,
 }
 
@@ -92,6 +96,7 @@
     /// The other hubs that it heard from lately.
     pub hubs: Vec<SocketAddr>,
     /// The instances that follow it, by zone.
+    #[serde(default)]
     pub members: Vec<ZoneMembers>,
 }
 
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -166,7 +166,8 @@
         }
     }
 
-    fn is_turned_away(&self) -> bool {
+    /// Returns whether the target ends the connection as soon as it is made.
+    pub(super) fn is_turned_away(&self) -> bool {
         let age = self.clock.now().since(self.made_at);
         !self.has_answered.get() && age < TURN_AWAY_TIME
     }
--- a/crates/figgladed/src/relay/pool.rs
+++ b/crates/figgladed/src/relay/pool.rs
@@ -121,8 +121,10 @@
             self.useless.set(times + 1);
             let rest = FIRST_REST.saturating_mul(1 << times.min(8)).min(LONGEST_REST);
             self.rests_until.set(now + rest);
-            // The connection that ended is not among the open ones any more.
-            self.replica.note_full(self.open.borrow().len() as u32, now + FULL_TIME);
+            if link.is_turned_away() {
+                // The connection that ended is not among the open ones any more.
+                self.replica.note_full(self.open.borrow().len() as u32, now + FULL_TIME);
+            }
         }
     }
 
