Heed targets that leave or ask for a back-off in their answers, and weigh refusals

Cause: no code read what a target says of itself in an answer.

Choice, hedges, retries, delegated shards and connections ahead of requests skip a target that is backing off. When too few services are open, the request is refused unsent, with a Retry-After that says when enough of them open. - A required shard whose targets refused is tried again under the budget instead of failing the search. - A target that says that it is leaving gets nothing more from this instance at once. The directory marks only that start as draining, and the follower sends the record to its hub, which spreads it. - A connection whose bytes are no answer is closed: interim heads count towards the head limit, and all incomplete answers together are bounded.

Tests: load_shedding and target_backoff (library, no network), odd_targets (real programs): endless heads, bodies, chunk lines and interim responses; odd entries; leavers, also restarted ones. With REFUSAL_COST 0 and without the retry of required shards two tests of load_shedding fail; without the back-off in `is_open` two fail.

--- a/crates/figglade/src/controller/service_directory/records.rs
+++ b/crates/figglade/src/controller/service_directory/records.rs
@@ -137,6 +137,14 @@
         changed
     }
 
+    /// Returns the record of a target that said that it is leaving, marked as draining; `None` if
+    /// that start of the target is unknown, has been replaced, or is known to leave.
+    pub fn drained(&self, id: &TargetId, incarnation: Incarnation) -> Option<TargetRecord> {
+        let held = self.get(id)?;
+        let is_news = held.incarnation == incarnation && held.phase == TargetPhase::Ready;
+        is_news.then(|| TargetRecord { phase: TargetPhase::Draining, ..held.clone() })
+    }
+
     /// Removes the records of gone targets once no late report of them is expected any more.
     pub fn purge_gone(&mut self, now: Timestamp) {
         let is_kept =
--- a/crates/figglade/src/filter/scatter/choice.rs
+++ b/crates/figglade/src/filter/scatter/choice.rs
@@ -75,13 +75,12 @@
 
 /// Returns whether some target could be sent an attempt but for its connection limit.
 pub(super) fn is_any_busy(replicas: &[Rc<ReplicaState>], now: Timestamp) -> bool {
-    let mut reachable =
-        replicas.iter().filter(|replica| replica.is_usable.get() && !replica.is_ejected(now));
-    reachable.any(|replica| !replica.has_connection_capacity(now))
+    let mut open = replicas.iter().filter(|replica| replica.is_open(now));
+    open.any(|replica| !replica.has_connection_capacity(now))
 }
 
 fn can_accept(replica: &ReplicaState, now: Timestamp) -> bool {
-    replica.is_usable.get() && replica.has_connection_capacity(now) && !replica.is_ejected(now)
+    replica.is_open(now) && replica.has_connection_capacity(now)
 }
 
 fn grade_replica(replica: &ReplicaState, now: Timestamp) -> ReplicaGrade {
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -20,8 +20,12 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// The weight of a success in the failure rate.
 const SUCCESS_WEIGHT: f64 = 0.15;
-/// The slowness sample recorded for a refusal, which shows that the target is at capacity.
-const REFUSAL_SLOWNESS: f64 = 3.0;
+/// The slowness sample recorded for a connection that was turned away, which shows that the target is
+/// at capacity.
+const TURN_AWAY_SLOWNESS: f64 = 3.0;
+/// The weight of the latest answer or refusal in the refusal rate: a target that sheds is recognized
+/// within about ten requests.
+const REFUSAL_WEIGHT: f64 = 0.2;
 /// The time in which the estimates lose two thirds of their weight without new samples.
 const DECAY_TIME: Duration = Duration::from_millis(4_000);
 /// The first ejection of a target that could not be reached.
@@ -33,6 +37,8 @@
 const OVERDUE_FACTOR: f64 = 8.0;
 /// The shortest age at which an attempt counts as overdue: longer than any pause of a target.
 const MIN_OVERDUE_AGE: Duration = Duration::from_millis(800);
+/// The longest back-off that a target can request; longer ones are shortened to it.
+pub const MAX_BACKOFF: Duration = Duration::from_secs(300);
 
 /// The expected slowdown of a target during its warm-up.
 const WARM_UP_FACTOR: f64 = 1.5;
@@ -41,6 +47,10 @@
 const MIN_SLOWNESS: f64 = 0.7;
 /// The surcharge for a target that fails every attempt, in multiples of the typical latency.
 const FAILURE_COST: f64 = 6.0;
+/// The surcharge for a target that refuses every attempt, in multiples of the typical latency. It is
+/// lower than that for failures, because a refusal arrives at once and leaves time for another
+/// attempt.
+const REFUSAL_COST: f64 = 4.0;
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -127,6 +137,8 @@
     samples: Cell<[f64; SLOWNESS_SAMPLES]>,
     sampled_at: Cell<Timestamp>,
     failure_rate: Cell<f64>,
+    /// The share of the recent attempts that the target refused.
+    refusal_rate: Cell<f64>,
     updated_at: Cell<Timestamp>,
     /// The ejections since the last answer.
     ejections: Cell<u32>,
@@ -135,6 +147,8 @@
     at_capacity_until: Cell<Timestamp>,
     /// The connections that may be used during that time.
     connections_at_capacity: Cell<u32>,
+    /// Until when the target asked to be sent nothing.
+    backoff_until: Cell<Timestamp>,
 }
 
 impl ReplicaState {
@@ -154,14 +168,49 @@
             samples: Cell::new([1.0; SLOWNESS_SAMPLES]),
             sampled_at: Cell::default(),
             failure_rate: Cell::new(0.0),
+            refusal_rate: Cell::new(0.0),
             updated_at: Cell::default(),
             ejections: Cell::new(0),
             ejected_until: Cell::default(),
             at_capacity_until: Cell::default(),
             connections_at_capacity: Cell::new(0),
+            backoff_until: Cell::default(),
         }
     }
 
+    /// Adopts the back-off that the same start of the target requested before its properties changed.
+    pub fn inherit_backoff(&self, former: &Self) {
+        if self.spec.id == former.spec.id && self.spec.incarnation == former.spec.incarnation {
+            self.backoff_until.set(former.backoff_until.get());
+        }
+    }
+
+    /// Records that the target asked to be sent nothing for `delay`, at most [`MAX_BACKOFF`]. A
+    /// later end that is already known stays. Returns whether a back-off begins.
+    pub fn record_backoff(&self, delay: Duration, now: Timestamp) -> bool {
+        let is_new = !self.is_backing_off(now);
+        let until = now + delay.min(MAX_BACKOFF);
+        self.backoff_until.set(self.backoff_until.get().max(until));
+        is_new
+    }
+
+    /// Returns whether the target asked to be sent nothing at `now`.
+    pub fn is_backing_off(&self, now: Timestamp) -> bool {
+        now < self.backoff_until.get()
+    }
+
+    /// Returns whether the target is known to be running and asked for nothing else, so that an
+    /// attempt may be sent to it once a connection is free.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.is_usable.get() && !self.is_ejected(now) && !self.is_backing_off(now)
+    }
+
+    /// Returns the earliest time at which [`Self::is_open`] can hold, or `None` for a target that
+    /// takes no new requests any more.
+    pub fn opens_at(&self) -> Option<Timestamp> {
+        self.is_usable.get().then(|| self.backoff_until.get().max(self.ejected_until.get()))
+    }
+
     /// Registers an attempt that is expected to take `typical_latency`. The target counts as stalled
     /// once the attempt has been unanswered for longer than `stall_timeout`.
     pub fn begin_attempt(
@@ -190,6 +239,7 @@
                 self.record_reply(now);
                 let ratio = now.since(ticket.started_at).as_secs_f64()
                     / ticket.typical_latency.as_secs_f64().max(f64::EPSILON);
+                self.update_refusal_rate(0.0, now);
                 self.update_estimates(Some(ratio), 0.0, now);
             }
             AttemptEnd::Failed => {
@@ -198,9 +248,10 @@
             }
             AttemptEnd::Refused => {
                 self.record_reply(now);
-                self.update_estimates(Some(REFUSAL_SLOWNESS), 0.0, now);
+                self.update_refusal_rate(1.0, now);
+                self.update_estimates(None, 0.0, now);
             }
-            AttemptEnd::TurnedAway => self.update_estimates(Some(REFUSAL_SLOWNESS), 0.0, now),
+            AttemptEnd::TurnedAway => self.update_estimates(Some(TURN_AWAY_SLOWNESS), 0.0, now),
             AttemptEnd::Lost => self.update_estimates(None, 1.0, now),
             AttemptEnd::NotSent => self.eject(now),
             AttemptEnd::Misdirected => self.is_usable.set(false),
@@ -264,7 +315,7 @@
     }
 
     /// Returns the expected latency of an attempt started at `now`, in multiples of the typical
-    /// latency, with a surcharge for failures.
+    /// latency, with surcharges for failures and refusals.
     pub fn expected_cost(&self, now: Timestamp) -> f64 {
         let decay = self.decay(now);
         let slowness = 1.0 + (self.slowness() - 1.0) * decay;
@@ -272,6 +323,7 @@
         let queue = self.in_flight() as f64 / f64::from(self.spec.slots.max(1));
         slowness.max(MIN_SLOWNESS) * warm_up * (1.0 + queue)
             + FAILURE_COST * self.failure_rate.get() * decay
+            + REFUSAL_COST * self.refusal_rate.get() * decay
     }
 
     fn record_reply(&self, now: Timestamp) {
@@ -280,6 +332,11 @@
         self.ejected_until.set(Timestamp::ZERO);
     }
 
+    fn update_refusal_rate(&self, refusal: f64, now: Timestamp) {
+        let rate = self.refusal_rate.get() * self.decay(now);
+        self.refusal_rate.set(rate + REFUSAL_WEIGHT * (refusal - rate));
+    }
+
     /// Updates the slowness samples with `ratio`, the latency in multiples of the typical latency,
     /// and the failure rate with `failure`.
     fn update_estimates(&self, ratio: Option<f64>, failure: f64, now: Timestamp) {
--- a/crates/figglade/src/filter/scatter/mod.rs
+++ b/crates/figglade/src/filter/scatter/mod.rs
@@ -20,7 +20,7 @@
     budget::{BudgetRules, ExtraBudget},
     choice::{ChoicePurpose, choose_replica},
     cutoff::{CoverageState, CutoffAction, CutoffTimes, decide_cutoff},
-    load::{AttemptEnd, AttemptTicket, ReplicaSpec, ReplicaState},
+    load::{AttemptEnd, AttemptTicket, MAX_BACKOFF, ReplicaSpec, ReplicaState},
     profile::RouteProfile,
     run::{
         AttemptKind, FailureReason, ScatterAction, ScatterEnd, ScatterRules, ScatterRun,
--- a/crates/figglade/src/filter/scatter/run.rs
+++ b/crates/figglade/src/filter/scatter/run.rs
@@ -22,6 +22,8 @@
 /// The refusals of one service after which it may still be sent another attempt. They do not count
 /// towards the maximum attempts of the route, because a target that refuses does not run the request.
 const MAX_REFUSALS: u32 = 2;
+/// The same for a service whose loss would fail the search.
+const MAX_REFUSALS_OF_REQUIRED: u32 = 8;
 /// The failed connections to targets of one service after which it may still be sent another
 /// attempt. They do not count towards the maximum either, because nothing was sent on them.
 const MAX_UNSENT_ATTEMPTS: u32 = 8;
@@ -30,6 +32,10 @@
 /// The delay before the targets of a service are tried again after all of them have refused the
 /// connection.
 const UNSENT_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// The delay before the targets of a service are tried again after they have refused the request.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The delay before an attempt that the budget did not allow is tried again.
+const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(25);
 /// The delay before a hedge that found no suitable target or no budget is tried again.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -67,7 +73,14 @@
     /// Returns whether some target can be sent an attempt, now or once a connection is free.
     fn is_reachable(&self, now: Timestamp) -> bool {
         let replicas = self.replicas.borrow();
-        replicas.iter().any(|replica| replica.is_usable.get() && !replica.is_ejected(now))
+        replicas.iter().any(|replica| replica.is_open(now))
+    }
+
+    /// Returns the earliest time at which some target can be sent an attempt, or `None` if the
+    /// service has no target.
+    fn opens_at(&self) -> Option<Timestamp> {
+        let replicas = self.replicas.borrow();
+        replicas.iter().filter_map(|replica| replica.opens_at()).min()
     }
 
     fn choose(
@@ -162,9 +175,12 @@
     open_attempts: u32,
     /// Whether an attempt has been made; reset when the targets are to be tried again.
     was_sent: bool,
-    /// When the next attempt is due: a first attempt that waits for a connection, or a hedge. `None`
-    /// where no further attempt is scheduled, as for a request that may not be repeated.
+    /// When the next attempt is due: one that waits for a connection or for the budget, or a hedge.
+    /// `None` where no further attempt is scheduled, as for a request that may not be repeated.
     next_attempt_at: Option<Timestamp>,
+    /// Whether an attempt that waits counts against the budget, because an earlier one reached a
+    /// target.
+    is_next_extra: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -183,6 +199,8 @@
     is_open: bool,
     /// Whether nothing was sent.
     is_unsent: bool,
+    /// Whether the target refused the request.
+    is_refused: bool,
     /// Whether the target may be sent another attempt.
     is_retryable: bool,
 }
@@ -215,6 +233,7 @@
                 open_attempts: 0,
                 was_sent: false,
                 next_attempt_at: None,
+                is_next_extra: false,
             })
             .collect();
         let pending = slots.len();
@@ -270,6 +289,16 @@
         skipped.map(move |slot| (&slot.service.name, slot.service.is_reachable(now)))
     }
 
+    /// Returns the time until enough services can be sent an attempt for a request like this one to
+    /// be answered: zero if they can now, `None` if too few of them have a target.
+    pub fn time_to_open(&self, now: Timestamp) -> Option<Duration> {
+        let mut times: Vec<_> =
+            self.slots.iter().filter_map(|slot| slot.service.opens_at()).collect();
+        times.sort_unstable();
+        let needed = self.rules.min_answers.max(1);
+        times.get(needed - 1).map(|opens_at| opens_at.since(now))
+    }
+
     /// Sends the first attempt to each service. A service without a target is missing at once.
     pub fn start(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<ScatterAction> {
         let mut actions = Vec::with_capacity(self.slots.len());
@@ -392,7 +421,11 @@
                 state.unsent += 1;
                 self.attempts[attempt].is_unsent = true;
             }
-            AttemptEnd::Refused | AttemptEnd::Misdirected => state.refusals += 1,
+            AttemptEnd::Refused => {
+                state.refusals += 1;
+                self.attempts[attempt].is_refused = true;
+            }
+            AttemptEnd::Misdirected => state.refusals += 1,
             AttemptEnd::TurnedAway
             | AttemptEnd::Answered
             | AttemptEnd::Failed
@@ -423,8 +456,13 @@
         if self.slots[slot].open_attempts > 0 {
             return;
         }
-        if is_unsent && may_repeat && self.may_send(slot) && self.is_required(slot, now) {
-            self.schedule_retry(slot, now);
+        let is_refused = end.is_known_not_run();
+        if (is_unsent || is_refused)
+            && may_repeat
+            && self.is_required(slot, now)
+            && self.may_send(slot)
+        {
+            self.schedule_retry(slot, is_unsent, now);
             return;
         }
         let reason = match end {
@@ -439,23 +477,32 @@
     /// Returns whether the search would fail without the service and still has time to wait for it.
     /// The search then waits, as a late answer is better than none.
     fn is_required(&self, slot: usize, now: Timestamp) -> bool {
+        self.would_fail_without(slot) && now < self.rules.times.deadline
+    }
+
+    /// Returns whether the search would fail without the service.
+    fn would_fail_without(&self, slot: usize) -> bool {
         let is_pending = self.slots[slot].status == SlotStatus::Pending;
         let others = self.answered + self.pending - usize::from(is_pending);
-        self.slots.len() > 1 && others < self.rules.min_answers && now < self.rules.times.deadline
+        self.slots.len() > 1 && others < self.rules.min_answers
     }
 
-    /// Schedules another first attempt, which may go to the targets to which nothing was sent.
-    fn schedule_retry(&mut self, slot: usize, now: Timestamp) {
+    /// Schedules another attempt, which may go to the targets that did not run the request.
+    fn schedule_retry(&mut self, slot: usize, is_unsent: bool, now: Timestamp) {
         for attempt in self.attempts.iter_mut().filter(|attempt| attempt.slot == slot) {
-            attempt.is_retryable = attempt.is_unsent;
+            attempt.is_retryable = attempt.is_unsent || attempt.is_refused;
         }
-        self.slots[slot].was_sent = false;
-        self.slots[slot].next_attempt_at = Some(now + UNSENT_RETRY_DELAY);
+        let state = &mut self.slots[slot];
+        state.was_sent = false;
+        state.is_next_extra |= !is_unsent;
+        let delay = if is_unsent { UNSENT_RETRY_DELAY } else { REFUSED_RETRY_DELAY };
+        state.next_attempt_at = Some(now + delay);
     }
 
-    /// Sends the first attempt. Where every connection is busy, the attempt waits for a free one for
-    /// a limited time. After that a refusal serves the caller better than a late answer, except in a
-    /// search that would fail without this service while its other shards are in progress.
+    /// Sends the first attempt, or another one after all earlier ones ended without a run. Where every
+    /// connection is busy, the attempt waits for a free one for a limited time. After that a refusal
+    /// serves the caller better than a late answer, except in a search that would fail without this
+    /// service while its other shards are in progress.
     fn send_first(
         &mut self,
         slot: usize,
@@ -463,7 +510,13 @@
         rng: &mut impl Rng,
         actions: &mut Vec<ScatterAction>,
     ) {
-        if self.send(slot, AttemptKind::First, now, rng, actions) {
+        let is_extra = self.slots[slot].is_next_extra;
+        let kind = if is_extra { AttemptKind::Retry } else { AttemptKind::First };
+        if self.send(slot, kind, now, rng, actions) {
+            return;
+        }
+        if is_extra && self.is_required(slot, now) && self.slots[slot].service.is_reachable(now) {
+            self.slots[slot].next_attempt_at = Some(now + BUDGET_RETRY_DELAY);
             return;
         }
         let is_busy = is_any_busy(&self.slots[slot].service.replicas.borrow(), now);
@@ -492,7 +545,9 @@
     fn may_send(&self, slot: usize) -> bool {
         let state = &self.slots[slot];
         let may_run = state.runs + state.open_attempts < self.rules.max_attempts;
-        may_run && state.refusals <= MAX_REFUSALS && state.unsent <= MAX_UNSENT_ATTEMPTS
+        let max_refusals =
+            if self.would_fail_without(slot) { MAX_REFUSALS_OF_REQUIRED } else { MAX_REFUSALS };
+        may_run && state.refusals <= max_refusals && state.unsent <= MAX_UNSENT_ATTEMPTS
     }
 
     fn send(
@@ -527,6 +582,7 @@
             replica: Rc::clone(&replica),
             is_open: true,
             is_unsent: false,
+            is_refused: false,
             is_retryable: false,
         });
         let state = &mut self.slots[slot];
--- a/crates/figglade/tests/load_support/mod.rs
+++ b/crates/figglade/tests/load_support/mod.rs
@@ -29,6 +29,8 @@
     pub slots: usize,
     /// The number of requests that may wait; further ones are refused.
     pub queue: usize,
+    /// The share of the requests that the target refuses although it has capacity.
+    pub shed_share: f64,
 }
 
 /// Regular pauses.
@@ -41,7 +43,14 @@
 
 impl Default for TargetModel {
     fn default() -> Self {
-        Self { slowness: 1.0, pauses: None, unresponsive_from: None, slots: 3, queue: 18 }
+        Self {
+            slowness: 1.0,
+            pauses: None,
+            unresponsive_from: None,
+            slots: 3,
+            queue: 18,
+            shed_share: 0.0,
+        }
     }
 }
 
@@ -239,6 +248,11 @@
         self.services[shard].replicas.borrow_mut().retain(|replica| replica.spec.id != id);
     }
 
+    /// Records that a target asks to be sent nothing for `delay` from now on.
+    pub fn back_off(&mut self, shard: usize, number: usize, delay: Duration) {
+        self.targets[shard][number].replica.record_backoff(delay, self.now);
+    }
+
     /// Runs the load to its end and returns the report.
     pub fn run(mut self) -> LoadReport {
         self.schedule(Timestamp::from_millis(1), SimEvent::Arrival);
@@ -328,13 +342,14 @@
             self.report.arrivals[number] += 1;
         }
         let spread = self.rng.random_range(0.6..1.4);
+        let is_shed = self.rng.random_bool(self.targets[shard][number].model.shed_share);
         let target = &mut self.targets[shard][number];
         let model = &target.model;
         if model.unresponsive_from.is_some_and(|from| self.now >= from) {
             return;
         }
         let waiting = target.free_at.iter().filter(|at| **at > self.now).count();
-        if waiting >= model.slots + model.queue {
+        if is_shed || waiting >= model.slots + model.queue {
             self.report.refused += 1;
             self.schedule(self.now + ROUND_TRIP, SimEvent::Refusal { request, attempt });
             return;
--- a/crates/figgladed/src/http1/body.rs
+++ b/crates/figgladed/src/http1/body.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Returns the number of bytes that it holds.
+    pub fn held_bytes(&self) -> usize {
+        self.body.len() + self.complete_body.len()
+    }
+
     /// Returns the complete body.
     pub fn into_body(self) -> Bytes {
         self.complete_body
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -8,6 +8,7 @@
     controller::{
         hub_chooser::{HubAddress, HubChooser},
         route_set::{RouteCodec, RouteDocument},
+        service_directory::TargetRecord,
     },
 };
 use slog::{Logger, error, info, warn};
@@ -80,6 +81,7 @@
                         next_poll = Instant::now();
                     }
                 }
+                draining = self.edge.wait_drained() => self.report_drains(draining),
                 () = sleep_until(next_poll) => next_poll = Instant::now() + self.poll(),
             }
         }
@@ -116,6 +118,15 @@
         }
     }
 
+    /// Reports targets that said that they are leaving to the followed hub, which spreads them. If
+    /// the message is lost, the comparison of digests repairs that.
+    fn report_drains(&self, draining: Vec<TargetRecord>) {
+        let followed = self.chooser.borrow().followed();
+        if let Some(hub) = followed.filter(|_| !draining.is_empty()) {
+            self.send(hub, HubMessage::Records(draining));
+        }
+    }
+
     fn handle_input(&self, input: HubInput) {
         let HubInput { from, message, .. } = input;
         match message {
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -27,6 +27,7 @@
 use slog::{Logger, info};
 
 use super::{
+    drain_inbox::DrainInbox,
     headers::HeaderNames,
     metrics::RelayMetrics,
     pool::{LinkContext, LinkPools},
@@ -70,6 +71,7 @@
     pub(super) metrics: Rc<RelayMetrics>,
     pub(super) pools: Rc<LinkPools>,
     pub(super) rng: RefCell<SmallRng>,
+    drains: Rc<DrainInbox>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     profiles: RefCell<HashMap<String, Rc<RouteProfile>>>,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
@@ -92,7 +94,16 @@
         log: Logger,
         seed: u64,
     ) -> Self {
-        let context = LinkContext { clock, names, log: log.clone() };
+        let metrics = Rc::<RelayMetrics>::default();
+        let drains = Rc::<DrainInbox>::default();
+        let context = LinkContext {
+            clock,
+            names,
+            log: log.clone(),
+            drains: Rc::clone(&drains),
+            metrics: Rc::clone(&metrics),
+            buffered: Rc::default(),
+        };
         let picker = AggregatorPicker::new(rules.peer, rules.zone.clone());
         Self {
             clock,
@@ -100,7 +111,8 @@
             rules,
             request_log: RequestLog::new(log.clone()),
             log,
-            metrics: Rc::default(),
+            metrics,
+            drains,
             pools: Rc::new(LinkPools::new(context)),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             routes: RefCell::default(),
@@ -168,6 +180,21 @@
         changes.len()
     }
 
+    /// Waits until targets say in their answers that they are leaving, and marks them as draining.
+    /// Returns the changed records, for the other instances.
+    pub async fn wait_drained(&self) -> Vec<TargetRecord> {
+        let notices = self.drains.wait().await;
+        let draining: Vec<_> = {
+            let directory = self.directory.borrow();
+            let named = notices.iter();
+            named
+                .filter_map(|notice| directory.drained(&notice.target, notice.incarnation))
+                .collect()
+        };
+        self.apply_records(draining.clone());
+        draining
+    }
+
     /// Replaces the list of aggregators; an empty list is ignored.
     pub fn update_aggregators(&self, list: Vec<AggregatorAddress>) {
         if list.is_empty() {
@@ -233,9 +260,8 @@
         }
         for service in self.routed_services() {
             let replicas = service.replicas.borrow();
-            let usable = replicas.iter().filter(|held| held.is_usable.get());
-            let reachable = usable.filter(|held| !held.is_lapsed.get() && !held.is_ejected(now));
-            for replica in reachable {
+            let open = replicas.iter().filter(|held| !held.is_lapsed.get() && held.is_open(now));
+            for replica in open {
                 self.pools.preconnect(replica, replica.ready_connections.get());
             }
         }
@@ -397,10 +423,12 @@
             is_local: record.zone == self.rules.zone,
             slots: record.slots,
         };
+        let mut former = None;
         replicas.retain(|held| {
             let is_kept = held.spec.id != spec.id || held.spec == spec && record.is_usable();
             if !is_kept {
                 held.is_usable.set(false);
+                former = Some(Rc::clone(held));
             }
             is_kept
         });
@@ -412,6 +440,9 @@
             return;
         }
         let replica = ReplicaState::new(spec, 1);
+        if let Some(former) = former {
+            replica.inherit_backoff(&former);
+        }
         replica.is_lapsed.set(record.is_lapsed);
         replica.warm_up_until.set(now + Duration::from_millis(u64::from(record.warmup_ms)));
         replicas.push(Rc::new(replica));
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -7,8 +7,8 @@
     Timestamp,
     controller::route_set::{Destination, RepeatRule, RouteSpec},
     filter::scatter::{
-        AttemptEnd, AttemptKind, CutoffTimes, ReplicaState, RouteProfile, ScatterAction,
-        ScatterEnd, ScatterRules, ScatterRun, ServiceState,
+        AttemptEnd, AttemptKind, CutoffTimes, FailureReason, ReplicaState, RouteProfile,
+        ScatterAction, ScatterEnd, ScatterRules, ScatterRun, ServiceState,
     },
 };
 use tokio::time::sleep_until;
@@ -108,6 +108,8 @@
     pub(super) attempts: Vec<AttemptRecord>,
     /// The services that no attempt was sent to, and why; empty after a complete answer.
     pub(super) skipped: String,
+    /// How long the targets asked to be sent nothing, if the request did not run for that reason.
+    pub(super) opens_in: Option<Duration>,
     /// The answer of the instance that some shards were delegated to.
     pub(super) merged: Option<MergedAnswer>,
     /// The course of that delegation, for the log.
@@ -121,13 +123,14 @@
     inbox: Rc<AnswerInbox>,
     links: Rc<OpenLinks>,
     repeat: RepeatRule,
+    deadline: Timestamp,
     is_done: Cell<bool>,
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.inbox.close();
-        self.pools.release(&self.links, self.repeat, !self.is_done.get());
+        self.pools.release(&self.links, self.repeat, self.deadline, !self.is_done.get());
     }
 }
 
@@ -189,6 +192,7 @@
             inbox: Rc::default(),
             links: Rc::default(),
             repeat,
+            deadline,
             is_done: Cell::new(false),
         };
         Self {
@@ -242,8 +246,15 @@
             ScatterEnd::Answered { missing: 0 } => String::new(),
             _ => self.describe_skipped(),
         };
+        let opens_in = match end {
+            ScatterEnd::Failed(FailureReason::NotRun) => {
+                self.run.time_to_open(self.now()).filter(|delay| !delay.is_zero())
+            }
+            _ => None,
+        };
         ForwardEnd {
             skipped,
+            opens_in,
             end,
             answers: std::mem::take(&mut self.answers),
             failure: self.failure.take(),
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -179,7 +179,8 @@
     }
 
     fn complete_forward(&self, route: &RouteSpec, forwarded: ForwardEnd) -> RequestEnd {
-        let ForwardEnd { end, answers, failure, attempts, skipped, merged, handover } = forwarded;
+        let ForwardEnd { end, answers, failure, attempts, skipped, opens_in, merged, handover } =
+            forwarded;
         let mut completed = match (end, &route.destination) {
             (ScatterEnd::Answered { missing }, Destination::Shards(plan)) => {
                 self.complete_search(merge_answers(plan, &answers, merged.as_ref(), missing))
@@ -188,6 +189,12 @@
                 Some(answer) => RequestEnd::plain(relay_answer(answer), "answered"),
                 None => RequestEnd::plain(HttpResponse::text(502, "no answer"), "unknown"),
             },
+            (ScatterEnd::Failed(FailureReason::NotRun), _) if opens_in.is_some() => {
+                let delay = opens_in.unwrap_or_default();
+                let reason = "the targets asked to be sent nothing for now";
+                let response = self.refuse_for(reason, delay, RETRY_AFTER_SPREAD);
+                RequestEnd::plain(response, "backing_off")
+            }
             (ScatterEnd::Failed(reason), destination) => {
                 let is_merged = matches!(destination, Destination::Shards(_));
                 self.complete_failure(reason, failure.filter(|_| !is_merged))
--- a/crates/figgladed/src/relay/headers.rs
+++ b/crates/figgladed/src/relay/headers.rs
@@ -20,6 +20,8 @@
     pub answer_proof: &'static str,
     /// Says that a target did not run a request.
     pub not_run: &'static str,
+    /// Says that a target is leaving and takes no new requests.
+    pub leaving: &'static str,
     /// The proofs of the shards whose records an answer holds.
     pub shard_proofs: &'static str,
     /// The number of shards that are missing from an answer.
@@ -44,11 +46,32 @@
     pub(super) proof: Option<Bytes>,
     /// Whether the target says that it did not run the request.
     pub(super) is_not_run: bool,
+    /// Whether the target says that it is leaving.
+    pub(super) is_leaving: bool,
+    /// What the target asks of the instance when it turns a request away.
+    pub(super) backoff: BackoffRequest,
     pub(super) status: u16,
 }
 
+/// The request of a target to be sent nothing for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BackoffRequest {
+    /// The target asks for nothing.
+    None,
+    /// The target is to be sent nothing for this long.
+    For(Duration),
+    /// The value cannot be read or is implausibly long; it is ignored.
+    Invalid,
+}
+
 /// The status with which a target rejects a request that is meant for another target.
 const MISDIRECTED: u16 = 421;
+/// The status with which a target turns a request away.
+const UNAVAILABLE: u16 = 503;
+/// The header in which a target that turns a request away says for how long, in seconds.
+const RETRY_AFTER: &str = "retry-after";
+/// The longest back-off that is taken for a value and not for an error of the target.
+const MAX_PLAUSIBLE_BACKOFF: Duration = Duration::from_secs(24 * 60 * 60);
 
 impl HeaderNames {
     /// Reads the head of a request.
@@ -66,6 +89,8 @@
             request_id: head.headers.get(self.request_id).cloned(),
             proof: head.headers.get(self.answer_proof).cloned(),
             is_not_run: head.headers.get(self.not_run).is_some(),
+            is_leaving: head.headers.text(self.leaving).is_some_and(|text| text.trim() == "1"),
+            backoff: BackoffRequest::read(head),
             status: head.status,
         }
     }
@@ -77,11 +102,32 @@
     }
 }
 
+impl BackoffRequest {
+    fn read(head: &ResponseHead) -> Self {
+        let Some(value) = head.headers.get(RETRY_AFTER) else { return Self::None };
+        if head.status != UNAVAILABLE {
+            return Self::None;
+        }
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        let seconds = text.trim().parse().ok();
+        let delay = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        match delay {
+            Some(delay) if delay <= MAX_PLAUSIBLE_BACKOFF => Self::For(delay),
+            _ => Self::Invalid,
+        }
+    }
+}
+
 impl AnswerMetadata {
+    /// Returns whether another target than the intended one answered.
+    pub(super) const fn is_misdirected(&self) -> bool {
+        self.status == MISDIRECTED
+    }
+
     /// Returns how an attempt ended that received this answer completely. Where records are merged,
     /// only a success is an answer; elsewhere a target's own rejection of the request is one too.
     pub(super) const fn end(&self, is_part: bool) -> AttemptEnd {
-        if self.status == MISDIRECTED {
+        if self.is_misdirected() {
             return AttemptEnd::Misdirected;
         }
         if self.is_not_run {
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -13,16 +13,16 @@
     Timestamp,
     filter::scatter::{AttemptEnd, ReplicaState},
 };
+use slog::{debug, info};
 use tokio::{net::TcpStream, sync::Notify};
 
 use super::{
     answer::{AttemptReport, AttemptSink, TargetAnswer},
-    headers::{AnswerMetadata, HeaderNames},
-};
-use crate::{
-    clock::ProcessClock,
-    http1::{BodyReader, HttpError, ResponseHead, frame_response},
+    drain_inbox::DrainNotice,
+    headers::{AnswerMetadata, BackoffRequest},
+    pool::LinkContext,
 };
+use crate::http1::{BodyReader, HttpError, ResponseHead, frame_response};
 
 /// The buffer capacity reserved for a read, in bytes.
 const READ_BUFFER_BYTES: usize = 8_192;
@@ -31,6 +31,9 @@
 /// The maximum size of the body of an answer, in bytes; it is buffered completely before it is
 /// relayed.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// The maximum size of the incomplete answers of all targets, in bytes: a fraction of the memory of a
+/// small machine. Targets that send bytes without end must not exhaust it.
+const MAX_BUFFERED_BYTES: usize = 48 << 20;
 /// The age below which a close without an answer means that the target accepts no more connections.
 /// A connection lost while a request ran is older, as the request itself takes longer.
 const TURN_AWAY_MAX_AGE: Duration = Duration::from_millis(4);
@@ -53,6 +56,8 @@
     unsent: Bytes,
     /// The number of answers to other requests received so far.
     foreign_answers: u32,
+    /// The size of the interim responses (1xx) before the next answer, in bytes.
+    interim_bytes: usize,
     /// How long the target keeps an idle connection, according to its last answer.
     idle_timeout: Option<Duration>,
 }
@@ -61,11 +66,12 @@
 #[derive(Debug)]
 pub(super) struct TargetLink {
     stream: TcpStream,
-    clock: ProcessClock,
-    names: HeaderNames,
+    context: LinkContext,
     state: RefCell<LinkState>,
     wake: Notify,
     is_closed: Cell<bool>,
+    /// The size of the incomplete answer, in bytes.
+    buffered: Cell<usize>,
     pub(super) made_at: Timestamp,
     /// Whether any byte has been read from it.
     pub(super) has_received: Cell<bool>,
@@ -84,19 +90,16 @@
 }
 
 impl TargetLink {
-    pub(super) fn new(
-        stream: TcpStream,
-        clock: ProcessClock,
-        names: HeaderNames,
-        now: Timestamp,
-    ) -> Self {
+    /// Takes over a connection that has just been made.
+    pub(super) fn new(stream: TcpStream, context: LinkContext) -> Self {
+        let now = context.clock.now();
         Self {
             stream,
-            clock,
-            names,
+            context,
             state: RefCell::default(),
             wake: Notify::new(),
             is_closed: Cell::new(false),
+            buffered: Cell::new(0),
             made_at: now,
             has_received: Cell::new(false),
             free_since: Cell::new(now),
@@ -162,6 +165,7 @@
             end => end,
         };
         self.is_closed.set(true);
+        self.record_buffered(0);
         owner.remove(&self);
         let sink = self.state.borrow_mut().sink.take();
         if let Some(sink) = sink {
@@ -172,7 +176,7 @@
     /// Returns whether the connection is so new and unanswered that its end means the target turned
     /// it away.
     pub(super) fn is_turned_away(&self) -> bool {
-        let age = self.clock.now().since(self.made_at);
+        let age = self.context.clock.now().since(self.made_at);
         !self.has_received.get() && age < TURN_AWAY_MAX_AGE
     }
 
@@ -202,15 +206,37 @@
                         }
                     }
                     Ok(None) => break,
-                    Err(_) => return AttemptEnd::Lost,
+                    Err(error) => {
+                        self.log_unreadable(&error);
+                        return AttemptEnd::Lost;
+                    }
                 }
             }
+            let held = pending.as_ref().map_or(0, |answer| answer.reader.held_bytes());
+            if self.record_buffered(buffer.len() + held) > MAX_BUFFERED_BYTES {
+                self.log_unreadable(&HttpError::BodyTooLarge);
+                return AttemptEnd::Lost;
+            }
             if is_end {
                 return AttemptEnd::Lost;
             }
         }
     }
 
+    /// Records the size of the incomplete answer and returns that of all links.
+    fn record_buffered(&self, bytes: usize) -> usize {
+        let total = &self.context.buffered;
+        total.set(total.get() - self.buffered.replace(bytes) + bytes);
+        total.get()
+    }
+
+    fn log_unreadable(&self, error: &HttpError) {
+        let state = self.state.borrow();
+        let target = state.sink.as_ref().map(|sink| &sink.replica.spec.id);
+        debug!(self.context.log, "relay: closed a connection whose bytes are no answer";
+            "target" => target.map(ToString::to_string), "error" => %error);
+    }
+
     /// Waits for bytes and meanwhile writes the rest of a request. Returns `None` if this side
     /// closed the connection.
     async fn read_bytes(&self, buffer: &mut BytesMut) -> Option<io::Result<usize>> {
@@ -279,17 +305,26 @@
         }))
     }
 
-    /// Parses the next head; heads of interim (1xx) responses are skipped.
+    /// Parses the next head. Heads of interim (1xx) responses are skipped and count towards the
+    /// maximum size of the head.
     fn parse_head(&self, buffer: &mut BytesMut) -> Result<Option<PendingAnswer>, HttpError> {
         let is_to_head = self.state.borrow().sink.as_ref().is_some_and(|sink| sink.is_head);
         loop {
+            let length = buffer.len();
             let Some(head) = ResponseHead::take(buffer, MAX_HEAD_BYTES)? else { return Ok(None) };
+            let mut state = self.state.borrow_mut();
             if (100..200).contains(&head.status) {
+                state.interim_bytes += length - buffer.len();
+                if state.interim_bytes > MAX_HEAD_BYTES {
+                    return Err(HttpError::HeadTooLarge);
+                }
                 continue;
             }
+            state.interim_bytes = 0;
+            drop(state);
             let framing = frame_response(&head, is_to_head)?;
             let reader = BodyReader::start(framing, MAX_BODY_BYTES)?;
-            let metadata = self.names.read_answer(&head);
+            let metadata = self.context.names.read_answer(&head);
             return Ok(Some(PendingAnswer { head, metadata, reader }));
         }
     }
@@ -306,6 +341,9 @@
         let expected = state.sink.as_ref().and_then(|sink| sink.request_id.clone());
         let is_foreign =
             answer.metadata.request_id.is_some() && answer.metadata.request_id != expected;
+        if let Some(sink) = &state.sink {
+            self.observe_target(&sink.replica, &answer.metadata, is_foreign);
+        }
         if is_foreign {
             // A late answer to an earlier request; the expected one may still follow.
             state.foreign_answers += 1;
@@ -319,7 +357,7 @@
         drop(state);
         let Some(sink) = sink else { return false };
         let end = answer.metadata.end(sink.is_part);
-        self.free_since.set(self.clock.now());
+        self.free_since.set(self.context.clock.now());
         if keeps_open {
             self.abandon_at.set(None);
             owner.put_back(Rc::clone(self));
@@ -328,8 +366,38 @@
         keeps_open
     }
 
+    /// Applies what an answer says of the target itself. A connection ends with its target, so even
+    /// an answer to another request is from the start that the connection was made to. How long ago
+    /// such an answer asked for a back-off is unknown, so that the back-off is ignored.
+    fn observe_target(&self, replica: &ReplicaState, metadata: &AnswerMetadata, is_foreign: bool) {
+        if metadata.is_misdirected() {
+            return;
+        }
+        let spec = &replica.spec;
+        if metadata.is_leaving && replica.is_usable.replace(false) {
+            info!(self.context.log, "relay: a target says that it is leaving";
+                "target" => %spec.id, "incarnation" => %spec.incarnation);
+            let notice = DrainNotice { target: spec.id.clone(), incarnation: spec.incarnation };
+            self.context.drains.push(notice);
+        }
+        match metadata.backoff {
+            BackoffRequest::For(delay) if !is_foreign => {
+                if replica.record_backoff(delay, self.context.clock.now()) {
+                    self.context.metrics.count_backoff();
+                    info!(self.context.log, "relay: a target asks to be sent nothing";
+                        "target" => %spec.id, "for_ms" => delay.as_millis() as u64);
+                }
+            }
+            BackoffRequest::Invalid => {
+                debug!(self.context.log, "relay: ignored the back-off that a target asks for";
+                    "target" => %spec.id);
+            }
+            BackoffRequest::For(_) | BackoffRequest::None => {}
+        }
+    }
+
     fn report(&self, sink: AttemptSink, end: AttemptEnd, answer: Option<TargetAnswer>) {
-        sink.replica.finish_attempt(sink.ticket, end, self.clock.now());
+        sink.replica.finish_attempt(sink.ticket, end, self.context.clock.now());
         sink.inbox.push(AttemptReport { attempt: sink.attempt, end, answer });
     }
 }
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -39,6 +39,7 @@
     ends: RefCell<BTreeMap<String, u64>>,
     handovers: RefCell<BTreeMap<&'static str, u64>>,
     missing_shards: Cell<u64>,
+    backoffs: Cell<u64>,
     open_connections: Cell<usize>,
     made_connections: Cell<u64>,
 }
@@ -70,6 +71,11 @@
         *self.handovers.borrow_mut().entry(end).or_default() += 1;
     }
 
+    /// Counts a target that asked to be sent nothing for a while.
+    pub(super) fn count_backoff(&self) {
+        self.backoffs.update(|count| count + 1);
+    }
+
     pub(super) fn record_connections(&self, open: usize, made: u64) {
         self.open_connections.set(open);
         self.made_connections.set(made);
@@ -121,6 +127,12 @@
                 "Shards missing from answers.",
                 self.missing_shards.get(),
             ),
+            (
+                "target_backoffs_total",
+                "counter",
+                "Back-offs that targets asked for.",
+                self.backoffs.get(),
+            ),
             (
                 "open_connections",
                 "gauge",
--- a/crates/figgladed/src/relay/mod.rs
+++ b/crates/figgladed/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod aggregate;
 mod answer;
+mod drain_inbox;
 mod edge;
 mod forward;
 mod handler;
--- a/crates/figgladed/src/relay/pool.rs
+++ b/crates/figgladed/src/relay/pool.rs
@@ -24,8 +24,10 @@
 
 use super::{
     answer::{AttemptReport, AttemptSink, OpenLinks},
+    drain_inbox::DrainInbox,
     headers::HeaderNames,
     link::{LinkOwner, TargetLink},
+    metrics::RelayMetrics,
 };
 use crate::clock::ProcessClock;
 
@@ -78,7 +80,7 @@
     /// The number of consecutive early closes.
     early_closes: Cell<u32>,
     /// The time until which no connection is opened ahead of requests.
-    backoff_until: Cell<Timestamp>,
+    preconnect_after: Cell<Timestamp>,
     clock: ProcessClock,
 }
 
@@ -126,7 +128,7 @@
             let backoff = MIN_PRECONNECT_BACKOFF
                 .saturating_mul(1 << count.min(8))
                 .min(MAX_PRECONNECT_BACKOFF);
-            self.backoff_until.set(now + backoff);
+            self.preconnect_after.set(now + backoff);
             if link.is_turned_away() {
                 // The closed connection has already been removed from the open ones.
                 self.replica.record_connection_refusal(
@@ -143,11 +145,16 @@
 }
 
 /// The context that all connections share.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(super) struct LinkContext {
     pub(super) clock: ProcessClock,
     pub(super) names: HeaderNames,
     pub(super) log: Logger,
+    /// Receives the targets that say that they are leaving.
+    pub(super) drains: Rc<DrainInbox>,
+    pub(super) metrics: Rc<RelayMetrics>,
+    /// The size of the incomplete answers on all connections, in bytes.
+    pub(super) buffered: Rc<Cell<usize>>,
 }
 
 /// The connections to all targets.
@@ -197,7 +204,7 @@
     /// Opens connections ahead of requests until `wanted` are open.
     pub(super) fn preconnect(self: &Rc<Self>, replica: &Rc<ReplicaState>, wanted: u32) {
         let pool = self.pool_of(replica);
-        if self.context.clock.now() < pool.backoff_until.get() {
+        if self.context.clock.now() < pool.preconnect_after.get() {
             return;
         }
         let wanted = wanted.min(replica.connection_limit.get());
@@ -235,17 +242,22 @@
 
     /// Releases the open attempts of a request that was answered or abandoned. If the caller
     /// disconnected, attempts that may be repeated are closed immediately; attempts that must run
-    /// at most once always continue to their end.
-    pub(super) fn release(&self, links: &OpenLinks, repeat: RepeatRule, has_caller_left: bool) {
-        if repeat == RepeatRule::AtMostOnce {
-            return;
-        }
+    /// at most once may continue to the deadline of the request.
+    pub(super) fn release(
+        &self,
+        links: &OpenLinks,
+        repeat: RepeatRule,
+        deadline: Timestamp,
+        has_caller_left: bool,
+    ) {
         let now = self.context.clock.now();
         for (_, link) in links.0.borrow().iter() {
-            if has_caller_left {
-                link.close();
-            } else {
-                link.abandon_at.set(Some(now + ABANDON_DELAY));
+            match repeat {
+                RepeatRule::AtMostOnce => {
+                    link.abandon_at.set(Some(deadline.max(now) + ABANDON_DELAY));
+                }
+                RepeatRule::Idempotent if has_caller_left => link.close(),
+                RepeatRule::Idempotent => link.abandon_at.set(Some(now + ABANDON_DELAY)),
             }
         }
     }
@@ -262,7 +274,7 @@
             open: RefCell::default(),
             connecting: Cell::new(0),
             early_closes: Cell::new(0),
-            backoff_until: Cell::default(),
+            preconnect_after: Cell::default(),
             clock: self.context.clock,
         });
         if let Some(previous) = pools.insert(replica.spec.address, Rc::clone(&pool)) {
@@ -327,8 +339,7 @@
                 "target" => %pool.replica.spec.id, "error" => %error);
         }
         self.made.update(|count| count + 1);
-        let clock = self.context.clock;
-        let link = Rc::new(TargetLink::new(stream, clock, self.context.names, clock.now()));
+        let link = Rc::new(TargetLink::new(stream, self.context.clone()));
         pool.open.borrow_mut().push(Rc::clone(&link));
         let owner: Rc<dyn LinkOwner> = Rc::new(WeakOwner(Rc::downgrade(pool)));
         spawn_local(Rc::clone(&link).run(owner));
