Leave time for the way back of partial answers, and unburden aggregators

The median search ended 147.5 ms after it was asked, of 150, the median name check after 61 of 60: nearly every search waits for a paused replica to its cut-off, and its answer then took longer than the constant 14 ms. Delegated shards arrived just after the cut-off and counted as missing. Hedges went out too late to help, because answers queue for a core of 0.12. Aggregators were chosen among the machines that run hubs. An aggregator reopened unused connections to remote targets without end.

Ruled out: sending is not what takes long (67 requests in 2 to 3 ms); the budget of extra attempts was not spent.

Change: - `AnswerDelay` learns how long partial answers take from their cut-off, for own searches and for those that other instances run, and the cut-off is earlier by its 80% quantile. The first value follows from the processor time. - A hedge goes out while its answer can still meet the goal. - A read that does not fill the buffer clears the readiness, which saves one system call an answer. - An instance beside a hub counts with half of its processor time when aggregators are chosen. - Connections ahead of requests to a remote target are kept only while it is in use.

Tests: answer_delay and a case of aggregators (library).

--- a/crates/figglade/src/controller/aggregators.rs
+++ b/crates/figglade/src/controller/aggregators.rs
@@ -18,6 +18,9 @@
 /// the next one.
 const INSTANCES_PER_AGGREGATOR: usize = 12;
 
+/// The processes among which a machine with a control instance divides its processor time.
+const PROCESSES_PER_SHARED_MACHINE: u32 = 2;
+
 /// An instance that scatters searches for others.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AggregatorAddress {
@@ -36,6 +39,16 @@
     pub cores: CoreShare,
 }
 
+impl AggregatorCandidate {
+    /// Returns the candidate with the processor time that a control instance on the same machine
+    /// leaves to it.
+    #[must_use]
+    pub const fn beside_control(self) -> Self {
+        let cores = CoreShare::new(self.cores.get() / PROCESSES_PER_SHARED_MACHINE);
+        Self { cores, ..self }
+    }
+}
+
 /// The instances of one zone that one control instance knows of.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneMembers {
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -37,6 +37,9 @@
 const OVERDUE_FACTOR: f64 = 8.0;
 /// The shortest age at which an attempt counts as overdue: longer than any pause of a target.
 const MIN_OVERDUE_AGE: Duration = Duration::from_millis(800);
+/// How long after an attempt a target counts as in use. Targets close a connection that has been idle
+/// for a few seconds.
+const IN_USE_PERIOD: Duration = Duration::from_secs(4);
 /// The longest back-off that a target can request; longer ones are shortened to it.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(300);
 
@@ -122,7 +125,7 @@
     pub connection_limit: Cell<u32>,
     /// Whether the target is in the subset that this instance keeps connections to.
     pub is_in_subset: Cell<bool>,
-    /// The connections to keep open ahead of requests.
+    /// The connections to keep open ahead of requests while the target is in use.
     pub ready_connections: Cell<u32>,
     /// Whether new requests may be sent to the target.
     pub is_usable: Cell<bool>,
@@ -132,6 +135,7 @@
     pub warm_up_until: Cell<Timestamp>,
     next_id: Cell<u64>,
     open: RefCell<Vec<OpenAttempt>>,
+    last_attempt: Cell<Option<Timestamp>>,
     last_reply: Cell<Timestamp>,
     /// The latencies of recent answers in multiples of the typical latency, oldest first.
     samples: Cell<[f64; SLOWNESS_SAMPLES]>,
@@ -164,6 +168,7 @@
             warm_up_until: Cell::default(),
             next_id: Cell::new(0),
             open: RefCell::default(),
+            last_attempt: Cell::new(None),
             last_reply: Cell::default(),
             samples: Cell::new([1.0; SLOWNESS_SAMPLES]),
             sampled_at: Cell::default(),
@@ -223,6 +228,7 @@
         self.next_id.set(id + 1);
         let ticket = AttemptTicket { id, started_at: now, typical_latency };
         self.open.borrow_mut().push(OpenAttempt { ticket, stall_timeout });
+        self.last_attempt.set(Some(now));
         ticket
     }
 
@@ -277,6 +283,17 @@
         }
     }
 
+    /// Returns how many connections to keep open ahead of requests. To a target in another zone that
+    /// is not in use there are none: they would be closed unused and opened again and again.
+    pub fn wanted_connections(&self, now: Timestamp) -> u32 {
+        let is_recent = |at: Timestamp| now.since(at) < IN_USE_PERIOD;
+        if self.spec.is_local || self.last_attempt.get().is_some_and(is_recent) {
+            self.ready_connections.get()
+        } else {
+            0
+        }
+    }
+
     /// Returns whether the connection limit allows another attempt.
     pub fn has_connection_capacity(&self, now: Timestamp) -> bool {
         let limit = self.connection_limit.get();
--- a/crates/figglade/src/filter/scatter/mod.rs
+++ b/crates/figglade/src/filter/scatter/mod.rs
@@ -6,6 +6,7 @@
 //! the answers.
 
 mod aggregator;
+mod answer_delay;
 mod budget;
 mod choice;
 mod cutoff;
@@ -17,6 +18,7 @@
 
 pub use self::{
     aggregator::{AggregatorPicker, HandoverState, ZoneCoverage, should_hand_over},
+    answer_delay::AnswerDelay,
     budget::{BudgetRules, ExtraBudget},
     choice::{ChoicePurpose, choose_replica},
     cutoff::{CoverageState, CutoffAction, CutoffTimes, decide_cutoff},
--- a/crates/figglade/src/filter/scatter/profile.rs
+++ b/crates/figglade/src/filter/scatter/profile.rs
@@ -12,6 +12,9 @@
 /// The smallest ratio of the hedge delay to the median. With a narrow distribution, it keeps attempts
 /// that are only slightly late from being hedged.
 const MIN_HEDGE_FACTOR: f64 = 1.4;
+/// The time that a hedge needs to be answered, as a multiple of the median. With less time left to
+/// the latency goal, its answer would most likely come too late.
+const HEDGE_ANSWER_FACTOR: f64 = 1.5;
 /// The largest ratio of the hedge delay to the median. Where many targets are slow, they determine
 /// the high quantile, and a hedge sent after that delay would be too late.
 const MAX_HEDGE_FACTOR: f64 = 2.2;
@@ -53,6 +56,15 @@
         self.high_quantile.estimate().clamp(min, max)
     }
 
+    /// Returns the age at which an attempt is hedged that has `left` to the latency goal: earlier than
+    /// [`Self::hedge_delay`] if the answer of the hedge would otherwise miss the goal.
+    pub fn hedge_delay_within(&self, left: Duration) -> Duration {
+        let delay = self.hedge_delay();
+        let typical = self.typical_latency();
+        let latest = left.saturating_sub(typical.mul_f64(HEDGE_ANSWER_FACTOR));
+        delay.min(latest.max(typical.mul_f64(MIN_HEDGE_FACTOR)))
+    }
+
     /// Returns an estimate of the time that a caller had already spent when it sent a request with
     /// `budget` left: the difference from the longest budget seen on the route. A caller that tries
     /// again has less time left than at its first try.
--- a/crates/figglade/src/filter/scatter/run.rs
+++ b/crates/figglade/src/filter/scatter/run.rs
@@ -589,7 +589,8 @@
         state.open_attempts += 1;
         state.was_sent = true;
         let is_repeatable = self.rules.repeat == RepeatRule::Idempotent;
-        state.next_attempt_at = is_repeatable.then(|| now + self.profile.hedge_delay());
+        let left = self.rules.times.goal.since(now);
+        state.next_attempt_at = is_repeatable.then(|| now + self.profile.hedge_delay_within(left));
         actions.push(ScatterAction::Send { attempt, slot, replica, kind });
         true
     }
--- a/crates/figglade/tests/aggregators.rs
+++ b/crates/figglade/tests/aggregators.rs
@@ -68,6 +68,20 @@
     }
 }
 
+#[test]
+fn instances_beside_a_control_instance_are_chosen_only_if_they_are_larger() {
+    // The instances 0 and 1 share their machines with control instances; instance 0 is larger.
+    let member = |number, cores| {
+        let candidate = candidate(number, cores);
+        (zone(1), if number < 2 { candidate.beside_control() } else { candidate })
+    };
+    let members: Vec<_> =
+        (0..10).map(|number| member(number, if number == 0 { 320 } else { 120 })).collect();
+    let chosen = choose_aggregators(summaries(&members, 2).iter());
+    let peers: Vec<_> = chosen.iter().map(|chosen| chosen.peer).collect();
+    assert_eq!(peers, [candidate(0, 0).peer, candidate(2, 0).peer]);
+}
+
 #[test]
 fn an_instance_known_to_two_control_instances_is_chosen_once() {
     let twice = [(zone(1), candidate(1, 300)), (zone(1), candidate(2, 100))];
--- a/crates/figgladed/src/http1/mod.rs
+++ b/crates/figgladed/src/http1/mod.rs
@@ -9,9 +9,9 @@
 mod error;
 mod head;
 mod message;
+mod read;
 mod server;
 
-pub(crate) use self::message::put_field;
 pub use self::{
     body::{BodyFraming, BodyReader, frame_request, frame_response},
     error::HttpError,
@@ -19,3 +19,4 @@
     message::{HttpRequest, HttpResponse, text_field},
     server::{HttpHandler, HttpServer, LocalFuture, ServerPhase, ShutdownSignal},
 };
+pub(crate) use self::{message::put_field, read::read_available};
--- a/crates/figgladed/src/http1/server.rs
+++ b/crates/figgladed/src/http1/server.rs
@@ -18,6 +18,7 @@
     error::HttpError,
     head::RequestHead,
     message::{HttpRequest, HttpResponse},
+    read::read_available,
 };
 
 /// The buffer capacity reserved for a read, in bytes.
@@ -331,8 +332,7 @@
 async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
         stream.readable().await?;
-        buffer.reserve(READ_BYTES);
-        match stream.try_read_buf(buffer) {
+        match read_available(stream, buffer, READ_BYTES) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             read => return read,
         }
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, OnceLock},
@@ -477,7 +477,7 @@
             is_synced: state.is_synced,
             is_current: self.is_current(&state, now),
             hubs: state.peers.live(now).map(|(address, _)| address).collect(),
-            members: Self::summarize_followers(&state, now),
+            members: self.summarize_followers(&state, now),
         };
         let message = HubMessage::Greeting(Box::new(greeting));
         let Some(frame) = self.encode(message) else { return };
@@ -487,18 +487,22 @@
     }
 
     /// Summarizes the instances that follow this hub, by availability zone.
-    fn summarize_followers(state: &HubState, now: Timestamp) -> Vec<ZoneMembers> {
+    fn summarize_followers(&self, state: &HubState, now: Timestamp) -> Vec<ZoneMembers> {
+        let hubs = state.peers.peers.keys().chain([&self.parts.peer]);
+        let hub_machines: HashSet<_> = hubs.map(SocketAddr::ip).collect();
         let present = state.followers.iter().filter(|(_, follower)| follower.is_present(now));
         summarize_members(present.filter_map(|(peer, follower)| {
             let (zone, cores) = follower.member.clone()?;
-            Some((zone, AggregatorCandidate { peer: *peer, cores }))
+            let candidate = AggregatorCandidate { peer: *peer, cores };
+            let is_shared = hub_machines.contains(&peer.ip());
+            Some((zone, if is_shared { candidate.beside_control() } else { candidate }))
         }))
     }
 
     /// Chooses the aggregators from the followers of all reachable hubs.
     fn choose_aggregators(&self, now: Timestamp) {
         let mut state = self.state.borrow_mut();
-        let own = Self::summarize_followers(&state, now);
+        let own = self.summarize_followers(&state, now);
         let others = state.peers.live(now).flat_map(|(_, greeting)| &greeting.members);
         let chosen = choose_aggregators(own.iter().chain(others));
         if chosen != state.aggregators {
--- a/crates/figgladed/src/relay/aggregate.rs
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -129,12 +129,16 @@
             let all = self.edge.services_for(route);
             let wanted = run.shards.iter().filter_map(|place| all.get(*place as usize).cloned());
             let (services, least) = (wanted.collect(), run.least_answers as usize);
+            let order = order.with_margin(&self.edge);
             ForwardCall::with_services(&self.edge, route, order, services, least).run().await
         };
         let (reply, outcome, missing) = match forwarded.end {
             ScatterEnd::Answered { missing } => {
                 let merged =
                     merge_answers(plan, &forwarded.answers, forwarded.merged.as_ref(), missing);
+                if missing > 0 {
+                    self.edge.answer_delay.observe(forwarded.cutoff, self.edge.clock.now());
+                }
                 let outcome = if missing == 0 { "complete" } else { "partial" };
                 (SearchReply::Answered(merged), outcome.to_owned(), missing)
             }
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -19,8 +19,8 @@
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::scatter::{
-        AggregatorPicker, BudgetRules, HandoverState, InstanceShare, ReplicaSpec, ReplicaState,
-        RouteProfile, ServiceState, ZoneCoverage, plan_connections, should_hand_over,
+        AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
+        ReplicaState, RouteProfile, ServiceState, ZoneCoverage, plan_connections, should_hand_over,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -71,6 +71,10 @@
     pub(super) metrics: Rc<RelayMetrics>,
     pub(super) pools: Rc<LinkPools>,
     pub(super) rng: RefCell<SmallRng>,
+    /// The delay of the partial answers of searches that this instance scatters.
+    pub(super) answer_delay: AnswerDelay,
+    /// The delay of the partial answers of other instances.
+    pub(super) handover_delay: AnswerDelay,
     drains: Rc<DrainInbox>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     profiles: RefCell<HashMap<String, Rc<RouteProfile>>>,
@@ -105,10 +109,13 @@
             buffered: Rc::default(),
         };
         let picker = AggregatorPicker::new(rules.peer, rules.zone.clone());
+        let cores = rules.cores;
         Self {
             clock,
             names,
             rules,
+            answer_delay: AnswerDelay::new(cores),
+            handover_delay: AnswerDelay::new(cores),
             request_log: RequestLog::new(log.clone()),
             log,
             metrics,
@@ -262,7 +269,7 @@
             let replicas = service.replicas.borrow();
             let open = replicas.iter().filter(|held| !held.is_lapsed.get() && held.is_open(now));
             for replica in open {
-                self.pools.preconnect(replica, replica.ready_connections.get());
+                self.pools.preconnect(replica, replica.wanted_connections(now));
             }
         }
         self.metrics.record_connections(self.pools.open_count(), self.pools.made.get());
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -46,6 +46,15 @@
     pub(super) deadline: Timestamp,
 }
 
+impl ForwardOrder {
+    /// Moves the goal forward by the time that a partial answer takes from the cut-off, so that it
+    /// still meets the original goal.
+    pub(super) fn with_margin(self, edge: &EdgeState) -> Self {
+        let left = self.goal.since(edge.clock.now());
+        Self { goal: self.goal - edge.answer_delay.margin(left), ..self }
+    }
+}
+
 /// Writes the head of a request for targets, without hop-by-hop headers and those that differ
 /// between targets.
 pub(super) fn write_head(request: &HttpRequest, names: &HeaderNames) -> Bytes {
@@ -101,6 +110,8 @@
 /// The end of a request, with the answers of its targets.
 pub(super) struct ForwardEnd {
     pub(super) end: ScatterEnd,
+    /// When a search was to be answered without the shards that had not answered.
+    pub(super) cutoff: Timestamp,
     /// The answers that the response is made from.
     pub(super) answers: Vec<TargetAnswer>,
     /// The last answer of a target that reported a failure.
@@ -140,6 +151,7 @@
     run: ScatterRun,
     profile: Rc<RouteProfile>,
     request_id: Option<Bytes>,
+    cutoff: Timestamp,
     is_part: bool,
     is_head: bool,
     writer: Rc<dyn RequestWriter>,
@@ -200,6 +212,7 @@
             run: ScatterRun::new(rules, services.into_iter(), Rc::clone(&profile)),
             profile,
             request_id,
+            cutoff: goal,
             is_part,
             is_head,
             writer: Rc::new(writer),
@@ -253,6 +266,7 @@
             _ => None,
         };
         ForwardEnd {
+            cutoff: self.cutoff,
             skipped,
             opens_in,
             end,
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -179,11 +179,24 @@
     }
 
     fn complete_forward(&self, route: &RouteSpec, forwarded: ForwardEnd) -> RequestEnd {
-        let ForwardEnd { end, answers, failure, attempts, skipped, opens_in, merged, handover } =
-            forwarded;
+        let ForwardEnd {
+            end,
+            cutoff,
+            answers,
+            failure,
+            attempts,
+            skipped,
+            opens_in,
+            merged,
+            handover,
+        } = forwarded;
         let mut completed = match (end, &route.destination) {
             (ScatterEnd::Answered { missing }, Destination::Shards(plan)) => {
-                self.complete_search(merge_answers(plan, &answers, merged.as_ref(), missing))
+                let merged = merge_answers(plan, &answers, merged.as_ref(), missing);
+                if missing > 0 {
+                    self.edge.answer_delay.observe(cutoff, self.edge.clock.now());
+                }
+                self.complete_search(merged)
             }
             (ScatterEnd::Answered { .. }, _) => match answers.into_iter().next() {
                 Some(answer) => RequestEnd::plain(relay_answer(answer), "answered"),
--- a/crates/figgladed/src/relay/handover.rs
+++ b/crates/figgladed/src/relay/handover.rs
@@ -4,7 +4,6 @@
 
 use derive_more::{Display, Error};
 use figglade::{
-    Timestamp,
     controller::route_set::{Destination, RouteSpec},
     filter::scatter::FailureReason,
     peer::CodecError,
@@ -200,6 +199,7 @@
     /// Sends a request to its targets from this instance, except for shards that are delegated to
     /// an aggregator of another zone.
     pub(super) async fn forward(&self, route: &RouteSpec, order: ForwardOrder) -> ForwardEnd {
+        let order = order.with_margin(&self.edge);
         let delegated = self.delegate_remote_shards(route, &order);
         let mut call = ForwardCall::new(&self.edge, route, order);
         if let Some(part) = delegated {
@@ -330,7 +330,9 @@
         round_trip: Duration,
     ) -> Result<HandoverEnd, ProbeFailure> {
         let now = self.edge.clock.now();
-        let left = |end: Timestamp| end.since(now).saturating_sub(round_trip);
+        let goal_left = order.goal.since(now);
+        let margin = self.edge.handover_delay.margin(goal_left).max(round_trip);
+        let goal_left = goal_left.saturating_sub(margin);
         let run = SearchRun {
             plan: plan.clone(),
             shards: part.shards.clone(),
@@ -339,8 +341,8 @@
             head: order.head.clone(),
             body: order.body.clone(),
             is_head: order.is_head,
-            goal_left: left(order.goal),
-            deadline_left: left(order.deadline),
+            goal_left,
+            deadline_left: order.deadline.since(now).saturating_sub(round_trip),
         };
         let message = SearchMessage::Run(run);
         let mut pending = self.link.request(peer, &message, order.deadline.since(now));
@@ -367,7 +369,12 @@
             }
         };
         match reply {
-            Ok(SearchReply::Answered(merged)) => Ok(HandoverEnd::Answered(merged)),
+            Ok(SearchReply::Answered(merged)) => {
+                if merged.missing > 0 {
+                    self.edge.handover_delay.observe(now + goal_left, self.edge.clock.now());
+                }
+                Ok(HandoverEnd::Answered(merged))
+            }
             Ok(SearchReply::Failed(FailureReason::NotRun)) => Err(ProbeFailure::NotRun),
             Ok(SearchReply::Failed(reason)) => Ok(HandoverEnd::Failed(reason)),
             Ok(SearchReply::Declined(reason)) => Err(ProbeFailure::Declined(reason)),
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -22,7 +22,7 @@
     headers::{AnswerMetadata, BackoffRequest},
     pool::LinkContext,
 };
-use crate::http1::{BodyReader, HttpError, ResponseHead, frame_response};
+use crate::http1::{BodyReader, HttpError, ResponseHead, frame_response, read_available};
 
 /// The buffer capacity reserved for a read, in bytes.
 const READ_BUFFER_BYTES: usize = 8_192;
@@ -250,8 +250,7 @@
                     if let Err(error) = ready {
                         return Some(Err(error));
                     }
-                    buffer.reserve(READ_BUFFER_BYTES);
-                    match self.stream.try_read_buf(buffer) {
+                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         read => return Some(read),
                     }
