Hedge early only where the hedge can meet the goal

Cause: read in the diff. A caller that comes back after the goal has no time left to it, so that every attempt of its request was hedged at the earliest age, from a budget that is scarce just then.

Change: where no hedge can meet the goal any more, the usual delay holds. Comments of the same work reworded.

--- a/crates/figglade/src/filter/scatter/answer_delay.rs
+++ b/crates/figglade/src/filter/scatter/answer_delay.rs
@@ -6,13 +6,12 @@
 
 /// The quantile of the delays that the margin covers.
 const MARGIN_QUANTILE: f64 = 0.8;
-/// The time that a whole core takes from the cut-off of a search to its answer; the estimate before
-/// the first sample.
+/// The time that a whole core takes from the cut-off of a search to its answer. It determines the
+/// estimate before the first sample.
 const ANSWER_WORK: Duration = Duration::from_micros(500);
 /// The processor time of a whole core, in the unit of [`CoreShare`].
 const MILLIS_PER_CORE: u32 = 1_000;
-/// The longest delay that is taken for one of processing. A longer one means that the search waited
-/// for a required shard beyond its cut-off.
+/// Longer delays are ignored: the search waited for a required shard beyond its cut-off.
 const MAX_DELAY: Duration = Duration::from_millis(50);
 /// The largest fraction of the time left to the latency goal that the margin takes.
 const MAX_MARGIN_FRACTION: f64 = 0.3;
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -204,8 +204,8 @@
         now < self.backoff_until.get()
     }
 
-    /// Returns whether the target is known to be running and asked for nothing else, so that an
-    /// attempt may be sent to it once a connection is free.
+    /// Returns whether an attempt may be sent to the target once a connection is free: it takes new
+    /// requests, is not ejected and has not asked for a back-off.
     pub fn is_open(&self, now: Timestamp) -> bool {
         self.is_usable.get() && !self.is_ejected(now) && !self.is_backing_off(now)
     }
--- a/crates/figglade/src/filter/scatter/profile.rs
+++ b/crates/figglade/src/filter/scatter/profile.rs
@@ -57,12 +57,17 @@
     }
 
     /// Returns the age at which an attempt is hedged that has `left` to the latency goal: earlier than
-    /// [`Self::hedge_delay`] if the answer of the hedge would otherwise miss the goal.
+    /// [`Self::hedge_delay`] if only then the answer of the hedge can meet the goal.
     pub fn hedge_delay_within(&self, left: Duration) -> Duration {
         let delay = self.hedge_delay();
         let typical = self.typical_latency();
+        let earliest = typical.mul_f64(MIN_HEDGE_FACTOR);
+        if left < earliest + typical {
+            // No hedge can meet the goal any more, so that an early one would gain nothing.
+            return delay;
+        }
         let latest = left.saturating_sub(typical.mul_f64(HEDGE_ANSWER_FACTOR));
-        delay.min(latest.max(typical.mul_f64(MIN_HEDGE_FACTOR)))
+        delay.min(latest.max(earliest))
     }
 
     /// Returns an estimate of the time that a caller had already spent when it sent a request with
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -73,7 +73,7 @@
     pub(super) rng: RefCell<SmallRng>,
     /// The delay of the partial answers of searches that this instance scatters.
     pub(super) answer_delay: AnswerDelay,
-    /// The delay of the partial answers of other instances.
+    /// The delay of the partial answers of searches that other instances run for this one.
     pub(super) handover_delay: AnswerDelay,
     drains: Rc<DrainInbox>,
     routes: RefCell<Option<Rc<RouteTable>>>,
