--- a/crates/figgladed/src/http1/read.rs
+++ b/crates/figgladed/src/http1/read.rs
@@ -25,7 +25,7 @@
     let length = stream.try_read_buf(buffer)?;
     if length > 0 && length < capacity {
         let clear = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
-        // Returns the error of the closure, which only clears the readiness.
+        // The error is that of the closure, which makes the runtime clear the readiness.
         let _ = stream.try_io(Interest::READABLE, clear);
     }
     Ok(length)
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -47,7 +47,7 @@
 }
 
 impl ForwardOrder {
-    /// Moves the goal forward by the time that a partial answer takes from the cut-off, so that it
+    /// Moves the goal to an earlier time, by what a partial answer takes from the cut-off, so that it
     /// still meets the original goal.
     pub(super) fn with_margin(self, edge: &EdgeState) -> Self {
         let left = self.goal.since(edge.clock.now());
@@ -119,7 +119,8 @@
     pub(super) attempts: Vec<AttemptRecord>,
     /// The services that no attempt was sent to, and why; empty after a complete answer.
     pub(super) skipped: String,
-    /// How long the targets asked to be sent nothing, if the request did not run for that reason.
+    /// The time until enough services have a target that takes requests, if the request did not run
+    /// because targets asked for a back-off or are ejected.
     pub(super) opens_in: Option<Duration>,
     /// The answer of the instance that some shards were delegated to.
     pub(super) merged: Option<MergedAnswer>,
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -204,9 +204,9 @@
             },
             (ScatterEnd::Failed(FailureReason::NotRun), _) if opens_in.is_some() => {
                 let delay = opens_in.unwrap_or_default();
-                let reason = "the targets asked to be sent nothing for now";
+                let reason = "too few services have a target that takes requests now";
                 let response = self.refuse_for(reason, delay, RETRY_AFTER_SPREAD);
-                RequestEnd::plain(response, "backing_off")
+                RequestEnd::plain(response, "no_open_target")
             }
             (ScatterEnd::Failed(reason), destination) => {
                 let is_merged = matches!(destination, Destination::Shards(_));
--- a/crates/figgladed/src/relay/headers.rs
+++ b/crates/figgladed/src/relay/headers.rs
@@ -48,7 +48,7 @@
     pub(super) is_not_run: bool,
     /// Whether the target says that it is leaving.
     pub(super) is_leaving: bool,
-    /// What the target asks of the instance when it turns a request away.
+    /// The back-off that the target asks for when it turns a request away.
     pub(super) backoff: BackoffRequest,
     pub(super) status: u16,
 }
@@ -56,7 +56,7 @@
 /// The request of a target to be sent nothing for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum BackoffRequest {
-    /// The target asks for nothing.
+    /// The answer asks for no back-off.
     None,
     /// The target is to be sent nothing for this long.
     For(Duration),
