--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -30,7 +30,7 @@
 /// The work of a request at a server.
 const WORK_MS: u64 = 2_000;
 /// The time budget of a request and the timeout of its route.
-const BUDGET_MS: u64 = 8_000;
+const BUDGET_MS: u64 = 6_000;
 const CLIENTS: u64 = 90;
 
 /// One request of a client.
