--- a/review/support/deployment.rs
+++ b/review/support/deployment.rs
@@ -3,6 +3,7 @@
 
 use std::{
     fs,
+    io::Write,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -164,6 +165,7 @@
             self.quit(2);
         });
         self.record.line(&format!("start {role} of machine {machine}"));
+        list_process(&child);
         self.processes.lock().expect("no panic").push(Process { machine, role, child });
     }
 
@@ -334,9 +336,19 @@
     processes.clear();
 }
 
+/// Adds a process to the list by which `run.sh` ends what a broken off case leaves.
+fn list_process(child: &Child) {
+    let Ok(path) = std::env::var("REVIEW_PROCESSES") else { return };
+    let file = fs::OpenOptions::new().create(true).append(true).open(path);
+    if let Ok(mut file) = file {
+        let _ = writeln!(file, "{}", child.id());
+    }
+}
+
 fn send_signal(child: &Child, name: &str) {
     // The child is not waited for before, so its id belongs to it.
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+    let command = format!("kill -{name} {}", child.id());
+    let _ = Command::new("sh").arg("-c").arg(command).status();
 }
 
 fn address(ip: &str, port: u16) -> SocketAddr {
