Review: show that a late first report undoes a Deregister

Case 5 (DRAIN): the Deregister of a server that the hubs do not know yet leaves no trace, so that its held-up first report brings it into use.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../support/run.sh" 5
