Refuse requests that may outlast a planned stop

Cause: an open connection was read for three quarters of the grace period, and nothing compared the time limit of a request with the time left until the exit. Ruled out: targets that break off (the records show that they answered), and the load balancer (the connections were already open).

Change: `filter::shutdown::ShutdownPlan` holds the times of the stop and admits a request that arrives after the load balancer has removed the instance only if its time limit ends before the exit. Others are refused at once with 503 and Retry-After, have not run, and reach another instance with the next connection. The plan takes the place of the flag that aggregators and the readiness check shared. Why it works: an admitted request has its final answer by its time limit, so that none is in progress at the exit.

Tests: late_requests_on_open_connections_are_answered_or_refused failed before ("passed on 2.204505055s after the signal, but cut off: unexpected end of file") and passes; callers_that_keep_sending_are_never_cut_off found that a grace period under 1.2 s put the close of idle connections after the exit, corrected here.

--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -1,5 +1,5 @@
-//! Stages of a request: admission, pinning of a snapshot, fan-out with replica choice, hedges and
-//! retries, and merging with the coverage.
+//! Stages of a request: admission, also during a planned stop, pinning of a snapshot, fan-out with
+//! replica choice, hedges and retries, and merging with the coverage.
 
 pub mod admission;
 pub mod budget;
@@ -11,3 +11,4 @@
 pub mod ranked;
 pub mod routing;
 pub mod scatter;
+pub mod shutdown;
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -1,6 +1,6 @@
 //! The edge process, which serves the requests of callers.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use figglade::{
     Incarnation,
@@ -8,13 +8,14 @@
         hub_chooser::HubChooser,
         route_set::{CallerLimits, RouteCodec},
     },
+    filter::shutdown::ShutdownPlan,
 };
 use slog::{Logger, info};
 use tokio::{
     net::TcpListener,
     sync::mpsc,
     task::spawn_local,
-    time::{interval, sleep, timeout},
+    time::{interval, sleep_until, timeout},
 };
 
 use super::{
@@ -40,13 +41,6 @@
 pub(super) const MAX_QUEUED_INPUTS: usize = 1_024;
 /// The time between two maintenance runs of the connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
-/// How long new connections are still served after the request to stop: the load balancer probes
-/// once a second and removes an instance after two failed probes.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_300);
-/// The fraction of the grace period after which no more requests are read.
-const READ_FRACTION: f64 = 0.75;
-/// How much earlier than the kill at the end of the grace period the process ends.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// The time after which a peer that reads nothing or answers no ping is disconnected: a stalled
 /// connection must not delay updates for long.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -102,20 +96,14 @@
     ));
     follower.update_seeds(&settings.seeds);
     let switch = Rc::new(ShutdownSignal::default());
-    let is_stopping = Rc::new(Cell::new(false));
     spawn_local(Rc::clone(&follower).run(received));
     let handover = Rc::new(SearchHandover::new(Rc::clone(&edge), Rc::new(transport.handle())));
     spawn_local(maintain(Rc::clone(&edge), Rc::clone(&handover)));
-    let aggregator = Rc::new(AggregatorService::new(
-        Rc::clone(&edge),
-        Rc::clone(&handover),
-        Rc::clone(&is_stopping),
-    ));
+    let aggregator = Rc::new(AggregatorService::new(Rc::clone(&edge), Rc::clone(&handover)));
     spawn_local(Rc::clone(&aggregator).run(received_searches));
     serve(callers, Rc::new(RelayHandler::new(Rc::clone(&edge), handover)), &switch, &log);
     let probe_switch = Rc::new(ShutdownSignal::default());
-    let ready = ReadyHandler::new(Rc::clone(&edge), Rc::clone(&switch), Rc::clone(&is_stopping));
-    serve(readiness, Rc::new(ready), &probe_switch, &log);
+    serve(readiness, Rc::new(ReadyHandler::new(Rc::clone(&edge))), &probe_switch, &log);
     if let Some(address) = settings.metrics {
         let metrics = Rc::clone(edge.metrics());
         serve_metrics(address, move || RelayMetrics::render(&metrics), &log).await;
@@ -123,8 +111,9 @@
     let grace = settings.stop_grace;
     watch.wait_for_stop(reader.as_ref(), |settings| follower.update_seeds(&settings.seeds)).await;
     info!(log, "process: the edge stops"; "active" => switch.active());
-    is_stopping.set(true);
-    finish_requests(&switch, &aggregator, grace, &clock).await;
+    let plan = ShutdownPlan::new(clock.now(), grace);
+    edge.begin_shutdown(plan);
+    finish_requests(&switch, &aggregator, plan, &clock).await;
     info!(log, "process: the edge stopped"; "cut_off" => switch.active());
     transport.close().await;
     Ok(())
@@ -135,15 +124,14 @@
 async fn finish_requests(
     switch: &ShutdownSignal,
     aggregator: &AggregatorService,
-    grace: Duration,
+    plan: ShutdownPlan,
     clock: &ProcessClock,
 ) {
-    let started_at = clock.now();
-    sleep(BALANCER_DELAY.min(grace.mul_f64(0.5))).await;
+    sleep_until(clock.instant_of(plan.drains_at())).await;
     switch.advance(ServerPhase::Draining);
-    sleep(grace.mul_f64(READ_FRACTION).saturating_sub(clock.now().since(started_at))).await;
+    sleep_until(clock.instant_of(plan.closes_idle_at())).await;
     switch.advance(ServerPhase::Finishing);
-    let time_left = grace.saturating_sub(clock.now().since(started_at)).saturating_sub(EXIT_MARGIN);
+    let time_left = plan.exits_at().since(clock.now());
     let searches_end = timeout(time_left, aggregator.wait_idle());
     // The log line of the stop reports how many requests are still in flight.
     let ((), _) = tokio::join!(switch.wait_idle(time_left), searches_end);
--- a/crates/figgladed/src/relay/aggregate.rs
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -42,19 +42,14 @@
 pub struct AggregatorService {
     edge: Rc<EdgeState>,
     handover: Rc<SearchHandover>,
-    is_stopping: Rc<Cell<bool>>,
     active: Cell<usize>,
     ended: Notify,
 }
 
 impl AggregatorService {
-    /// Builds the service; it declines searches once `is_stopping` is set.
-    pub fn new(
-        edge: Rc<EdgeState>,
-        handover: Rc<SearchHandover>,
-        is_stopping: Rc<Cell<bool>>,
-    ) -> Self {
-        Self { edge, handover, is_stopping, active: Cell::new(0), ended: Notify::new() }
+    /// Builds the service; it declines searches once a planned stop has begun.
+    pub fn new(edge: Rc<EdgeState>, handover: Rc<SearchHandover>) -> Self {
+        Self { edge, handover, active: Cell::new(0), ended: Notify::new() }
     }
 
     /// Handles messages until the process ends.
@@ -169,7 +164,7 @@
     /// Returns the route table in force and the position of the plan's route in it, provided that
     /// this instance has the same shards for the route.
     fn find_route(&self, plan: &SearchPlan) -> Result<(Rc<RouteTable>, usize), DeclineReason> {
-        if self.is_stopping.get() {
+        if self.edge.is_stopping() {
             return Err(DeclineReason::Stopping);
         }
         if self.active.get() >= MAX_ACTIVE_SEARCHES {
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -18,9 +18,13 @@
         route_set::{CallerLimits, Destination, RouteSet, RouteSetVersion, RouteSpec, RouteTable},
         service_directory::{ServiceDirectory, TargetRecord},
     },
-    filter::scatter::{
-        AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
-        ReplicaState, RouteProfile, ServiceState, ZoneCoverage, plan_connections, should_hand_over,
+    filter::{
+        scatter::{
+            AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
+            ReplicaState, RouteProfile, ServiceState, ZoneCoverage, plan_connections,
+            should_hand_over,
+        },
+        shutdown::ShutdownPlan,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -87,6 +91,8 @@
     aggregators: RefCell<AggregatorPicker>,
     census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
+    /// The planned stop in progress.
+    shutdown: Cell<Option<ShutdownPlan>>,
 }
 
 impl EdgeState {
@@ -131,9 +137,26 @@
             aggregators: RefCell::new(picker),
             census: RefCell::default(),
             is_current: Cell::new(false),
+            shutdown: Cell::new(None),
         }
     }
 
+    /// Begins a planned stop.
+    pub fn begin_shutdown(&self, plan: ShutdownPlan) {
+        self.shutdown.set(Some(plan));
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub const fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
+    }
+
+    /// Returns whether a request that arrives at `now` is served; during a planned stop it may be
+    /// too late for that.
+    pub(super) fn admits(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        self.shutdown.get().is_none_or(|plan| plan.admits(now, deadline))
+    }
+
     /// Returns the counters of the data path.
     pub const fn metrics(&self) -> &Rc<RelayMetrics> {
         &self.metrics
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -18,9 +18,7 @@
     request_log::{AttemptRecord, RequestRecord},
     search_message::MergedAnswer,
 };
-use crate::http1::{
-    HttpHandler, HttpRequest, HttpResponse, LocalFuture, ServerPhase, ShutdownSignal, text_field,
-};
+use crate::http1::{HttpHandler, HttpRequest, HttpResponse, LocalFuture, text_field};
 
 /// The maximum number of requests served concurrently; further ones are refused immediately.
 const MAX_ACTIVE_REQUESTS: usize = 400;
@@ -118,6 +116,11 @@
         let wait = caller.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
         let id = caller.request_id;
+        if !self.edge.admits(arrived, deadline) {
+            let reason = "the instance stops before the request would have ended";
+            let end = RequestEnd::plain(self.refuse(reason), "stopping");
+            return self.finish(end, Some(route), version, id.as_ref(), arrived, deadline);
+        }
         if !self.has_capacity(route.priority) {
             let end =
                 RequestEnd::plain(self.refuse("too many requests are in progress"), "overloaded");
@@ -314,25 +317,18 @@
 /// Tells the platform's load balancer whether the instance accepts new connections.
 pub struct ReadyHandler {
     edge: Rc<EdgeState>,
-    switch: Rc<ShutdownSignal>,
-    is_stopping: Rc<Cell<bool>>,
 }
 
 impl ReadyHandler {
-    /// Builds the handler; once `is_stopping` is set, the instance is never ready again.
-    pub const fn new(
-        edge: Rc<EdgeState>,
-        switch: Rc<ShutdownSignal>,
-        is_stopping: Rc<Cell<bool>>,
-    ) -> Self {
-        Self { edge, switch, is_stopping }
+    /// Builds the handler; once a planned stop has begun, the instance is never ready again.
+    pub const fn new(edge: Rc<EdgeState>) -> Self {
+        Self { edge }
     }
 }
 
 impl HttpHandler for ReadyHandler {
     fn handle(&self, _request: HttpRequest) -> LocalFuture<'_, HttpResponse> {
-        let is_serving = self.switch.phase() == ServerPhase::Serving && !self.is_stopping.get();
-        let response = if !is_serving {
+        let response = if self.edge.is_stopping() {
             HttpResponse::text(503, "stopping")
         } else if self.edge.route_version().is_none() {
             HttpResponse::text(503, "no route set is known yet")
