Record the leave of a target that has not reported yet

Cause: `ReportTracker::handle_leave` returned without a record for an id that the directory does not hold, so that nothing was left to compare the late report with. Ruled out: the order of reports within one start and the spread of records.

Change: such a leave is recorded as gone for the start that the message names (`born`, now decoded), and is replicated and stored like any other. A record of a gone target takes over the service and address under which an instance knows the target, so that the instance removes it there. Why it works: a gone record wins against every report of the same or an earlier start, in any order, and loses against a later start.

Tests: a_late_first_report_does_not_revive_a_target_that_left and a_leave_without_a_report_ends_the_target_under_its_service fail with the former return ("other instances must learn of it, left: 0, right: 1") and pass. The tests that call `handle_leave` now build a `TargetLeave`; they check what they checked.

--- a/crates/figglade/src/controller/service_directory/mod.rs
+++ b/crates/figglade/src/controller/service_directory/mod.rs
@@ -10,5 +10,5 @@
 
 pub use self::{
     records::{ServiceDirectory, TargetRecord},
-    reports::{ReportOutcome, ReportTracker, TargetPhase, TargetReport},
+    reports::{ReportOutcome, ReportTracker, TargetLeave, TargetPhase, TargetReport},
 };
--- a/crates/figglade/src/controller/service_directory/records.rs
+++ b/crates/figglade/src/controller/service_directory/records.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
@@ -64,6 +64,24 @@
         }
     }
 
+    /// Builds the record of a target that left before any report of it arrived, so that only its id
+    /// and incarnation are known.
+    pub fn departed(id: TargetId, incarnation: Incarnation, holder: InstanceId) -> Self {
+        Self {
+            id,
+            service: ServiceName::unknown(),
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            zone: ZoneName::unknown(),
+            slots: 0,
+            incarnation,
+            sequence: 0,
+            phase: TargetPhase::Gone,
+            is_lapsed: false,
+            warmup_ms: 0,
+            holder,
+        }
+    }
+
     /// Returns whether this record replaces `held`, a record of the same target.
     fn replaces(&self, held: &Self) -> bool {
         if self.incarnation != held.incarnation {
@@ -119,6 +137,15 @@
             return Vec::new();
         }
         let mut record = record;
+        if record.phase == TargetPhase::Gone
+            && let Some(HeldRecord { record: held, .. }) = held
+        {
+            // The instance that received the leave may not have known the target. Others remove it
+            // from the service under which they know it.
+            record.service = held.service.clone();
+            record.address = held.address;
+            record.zone = held.zone.clone();
+        }
         let mut changed = Vec::new();
         if record.phase != TargetPhase::Gone
             && let Some(other) = self.other_at_address(&record)
--- a/crates/figglade/src/controller/service_directory/reports.rs
+++ b/crates/figglade/src/controller/service_directory/reports.rs
@@ -58,6 +58,15 @@
     pub warmup_ms: u32,
 }
 
+/// The message of a target that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetLeave {
+    /// The target.
+    pub id: TargetId,
+    /// The start of the target that leaves; `None` if the message does not say.
+    pub incarnation: Option<Incarnation>,
+}
+
 /// The effect of a report.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReportOutcome {
@@ -135,18 +144,22 @@
         ReportOutcome { changed, must_replicate }
     }
 
-    /// Handles the message of a target that it leaves.
+    /// Handles the message of a target that it leaves. A target whose reports have all been delayed
+    /// is recorded as gone too, so that they do not bring it into use.
     pub fn handle_leave(
         &mut self,
-        id: &TargetId,
+        leave: &TargetLeave,
         directory: &mut ServiceDirectory,
         now: Timestamp,
     ) -> ReportOutcome {
-        self.last_reports.remove(id);
-        let Some(held) = directory.get(id) else {
-            return ReportOutcome { changed: Vec::new(), must_replicate: true };
+        self.last_reports.remove(&leave.id);
+        let gone = match directory.get(&leave.id) {
+            Some(held) => TargetRecord { phase: TargetPhase::Gone, ..held.clone() },
+            None => {
+                let incarnation = leave.incarnation.unwrap_or_default();
+                TargetRecord::departed(leave.id.clone(), incarnation, self.own.clone())
+            }
         };
-        let gone = TargetRecord { phase: TargetPhase::Gone, ..held.clone() };
         let mut changed = directory.merge(gone.clone(), now);
         if changed.is_empty() {
             changed.push(gone);
--- a/crates/figglade/src/ids.rs
+++ b/crates/figglade/src/ids.rs
@@ -56,6 +56,11 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Returns the placeholder for an identifier that is not known.
+            pub fn unknown() -> Self {
+                Self(Arc::from("unknown"))
+            }
         }
 
         impl FromStr for $name {
--- a/crates/figglade/tests/service_directory.rs
+++ b/crates/figglade/tests/service_directory.rs
@@ -6,7 +6,8 @@
 use figglade::{
     Incarnation, InstanceId, Timestamp,
     controller::service_directory::{
-        ReportTracker, ServiceDirectory, TargetPhase, TargetRecord, TargetReport,
+        ReportOutcome, ReportTracker, ServiceDirectory, TargetLeave, TargetPhase, TargetRecord,
+        TargetReport,
     },
 };
 
@@ -52,6 +53,12 @@
         self.tracker.handle_report(report, &mut self.directory, now).changed
     }
 
+    fn leave(&mut self, id: &str, incarnation: Option<u64>, now: Timestamp) -> ReportOutcome {
+        let incarnation = incarnation.map(Incarnation::new);
+        let leave = TargetLeave { id: id.parse().unwrap(), incarnation };
+        self.tracker.handle_leave(&leave, &mut self.directory, now)
+    }
+
     fn phase(&self, id: &str) -> Option<TargetPhase> {
         self.directory.get(&id.parse().unwrap()).map(|record| record.phase)
     }
@@ -94,7 +101,7 @@
 fn a_target_that_left_stays_gone_until_it_restarts() {
     let mut hub = Hub::new("h1");
     hub.handle(&report("t", 1, 1), at(0));
-    let left = hub.tracker.handle_leave(&"t".parse().unwrap(), &mut hub.directory, at(10));
+    let left = hub.leave("t", None, at(10));
     assert!(left.must_replicate);
     assert!(hub.handle(&report("t", 1, 9), at(20)).is_empty());
     assert_eq!(hub.phase("t"), Some(TargetPhase::Gone));
@@ -106,6 +113,40 @@
     assert_eq!(hub.phase("t"), Some(TargetPhase::Ready));
 }
 
+/// Guards against a target that leaves before its first report has arrived: the late report must not
+/// bring it into use.
+#[test]
+fn a_late_first_report_does_not_revive_a_target_that_left() {
+    for born in [None, Some(7)] {
+        let (mut first, mut second) = (Hub::new("h1"), Hub::new("h2"));
+        let late = report("t", born.unwrap_or_default(), 1);
+        let left = first.leave("t", born, at(0));
+        assert_eq!(left.changed.len(), 1, "other instances must learn of it");
+        for record in left.changed {
+            second.directory.merge(record, at(10));
+        }
+        for hub in [&mut first, &mut second] {
+            assert!(hub.handle(&late, at(4_000)).is_empty(), "born {born:?}");
+            assert_eq!(hub.phase("t"), Some(TargetPhase::Gone), "born {born:?}");
+            assert_eq!(hub.handle(&report("t", 8, 1), at(5_000)).len(), 1, "the next start");
+            assert_eq!(hub.phase("t"), Some(TargetPhase::Ready));
+        }
+    }
+}
+
+/// Guards against a leave that reaches an instance which has not heard of the target yet, while
+/// another uses it already.
+#[test]
+fn a_leave_without_a_report_ends_the_target_under_its_service() {
+    let (mut first, mut second) = (Hub::new("h1"), Hub::new("h2"));
+    first.handle(&report("t", 7, 1), at(0));
+    let left = second.leave("t", Some(7), at(10)).changed;
+    let changed = first.directory.merge(left[0].clone(), at(20));
+    assert_eq!(first.phase("t"), Some(TargetPhase::Gone));
+    assert_eq!(changed.len(), 1);
+    assert_eq!(changed[0].service.as_str(), "desk", "instances remove it from this service");
+}
+
 #[test]
 fn a_newer_target_takes_over_the_address() {
     let mut hub = Hub::new("h1");
@@ -222,7 +263,7 @@
 fn gone_targets_are_purged_after_their_ttl() {
     let mut hub = Hub::new("h1");
     hub.handle(&report("t", 1, 1), at(0));
-    hub.tracker.handle_leave(&"t".parse().unwrap(), &mut hub.directory, at(10));
+    hub.leave("t", None, at(10));
     hub.directory.purge_gone(at(60_000));
     assert_eq!(hub.directory.records().count(), 1);
     hub.directory.purge_gone(at(200_000));
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -14,7 +14,7 @@
 
 use derive_more::{Display, Error};
 use figglade::{
-    InstanceId, TargetId, Timestamp, ZoneName,
+    InstanceId, Timestamp, ZoneName,
     border::PeerLink,
     controller::{
         aggregators::{
@@ -25,7 +25,9 @@
         ledger::{LedgerCommand, LedgerReply},
         quorum::{MemberChange, StorageId},
         route_set::{RouteDocument, RoutePut, RouteSetVersion},
-        service_directory::{ReportTracker, ServiceDirectory, TargetRecord, TargetReport},
+        service_directory::{
+            ReportTracker, ServiceDirectory, TargetLeave, TargetRecord, TargetReport,
+        },
     },
 };
 use slog::{Logger, info, warn};
@@ -298,11 +300,11 @@
     /// # Errors
     ///
     /// Fails when too few other hubs hold that change.
-    pub async fn handle_leave(&self, id: &TargetId) -> Result<(), HubError> {
+    pub async fn handle_leave(&self, leave: &TargetLeave) -> Result<(), HubError> {
         let outcome = {
             let mut state = self.state.borrow_mut();
             let HubState { reports, directory, pending, .. } = &mut *state;
-            let outcome = reports.handle_leave(id, directory, self.now());
+            let outcome = reports.handle_leave(leave, directory, self.now());
             pending.for_followers.extend_from_slice(&outcome.changed);
             outcome
         };
