Let the leave of a former start change nothing

Change: the leave ends the start that it names (`born`). That of an earlier start is acknowledged and changes nothing, and does not reset the time of the last report; that of a later start ends it before its first report arrives. Why it works: `TargetRecord::replaces` orders by the start first.

Tests: a_late_leave_of_a_former_start_does_not_end_the_next_one failed before (left: Some(Gone), right: Some(Ready)), a_leave_that_overtakes_the_first_report_of_its_start_ends_that_start as well; both pass.

--- a/crates/figglade/src/controller/service_directory/reports.rs
+++ b/crates/figglade/src/controller/service_directory/reports.rs
@@ -145,24 +145,31 @@
     }
 
     /// Handles the message of a target that it leaves. A target whose reports have all been delayed
-    /// is recorded as gone too, so that they do not bring it into use.
+    /// is recorded as gone too, so that they do not bring it into use. The delayed message of an
+    /// earlier start changes nothing.
     pub fn handle_leave(
         &mut self,
         leave: &TargetLeave,
         directory: &mut ServiceDirectory,
         now: Timestamp,
     ) -> ReportOutcome {
-        self.last_reports.remove(&leave.id);
         let gone = match directory.get(&leave.id) {
-            Some(held) => TargetRecord { phase: TargetPhase::Gone, ..held.clone() },
+            Some(held) => {
+                let incarnation = leave.incarnation.unwrap_or(held.incarnation);
+                TargetRecord { phase: TargetPhase::Gone, incarnation, ..held.clone() }
+            }
             None => {
                 let incarnation = leave.incarnation.unwrap_or_default();
                 TargetRecord::departed(leave.id.clone(), incarnation, self.own.clone())
             }
         };
         let mut changed = directory.merge(gone.clone(), now);
+        let held = directory.get(&leave.id).cloned().unwrap_or(gone);
+        if held.phase == TargetPhase::Gone {
+            self.last_reports.remove(&leave.id);
+        }
         if changed.is_empty() {
-            changed.push(gone);
+            changed.push(held);
         }
         ReportOutcome { changed, must_replicate: true }
     }
--- a/crates/figglade/tests/service_directory.rs
+++ b/crates/figglade/tests/service_directory.rs
@@ -147,6 +147,33 @@
     assert_eq!(changed[0].service.as_str(), "desk", "instances remove it from this service");
 }
 
+/// Guards against the delayed leave of a former start, which must not end the next start of the
+/// target.
+#[test]
+fn a_late_leave_of_a_former_start_does_not_end_the_next_one() {
+    let mut hub = Hub::new("h1");
+    hub.handle(&report("t", 7, 1), at(0));
+    hub.handle(&report("t", 9, 1), at(1_000));
+    let late = hub.leave("t", Some(7), at(4_000));
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Ready));
+    assert!(late.changed.iter().all(TargetRecord::is_usable), "{:?}", late.changed);
+    assert!(
+        hub.tracker.mark_lapsed(&mut hub.directory, |_| true, at(5_000)).is_empty(),
+        "its last report counts as before"
+    );
+    hub.leave("t", Some(9), at(6_000));
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Gone));
+}
+
+#[test]
+fn a_leave_that_overtakes_the_first_report_of_its_start_ends_that_start() {
+    let mut hub = Hub::new("h1");
+    hub.handle(&report("t", 7, 1), at(0));
+    hub.leave("t", Some(9), at(1_000));
+    assert!(hub.handle(&report("t", 9, 1), at(2_000)).is_empty());
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Gone));
+}
+
 #[test]
 fn a_newer_target_takes_over_the_address() {
     let mut hub = Hub::new("h1");
