Serve late requests that usually end before the exit, and answer all in time

The admission during a planned stop refused each request whose time limit reaches beyond the exit. Callers with long time limits were refused although their requests take a fraction of them, and where most instances of a zone stop at once they came back to another stopping one.

Change: a request that may be repeated is also served if three times the high quantile of its route's latency ends before the exit. The time limit of every request that is served during the stop ends 0.1 s before the exit, so that its caller gets an answer instead of a closed connection. Requests that may run at most once keep the strict rule, since after a 504 their callers do not know whether they ran.

--- a/crates/figglade/src/filter/scatter/profile.rs
+++ b/crates/figglade/src/filter/scatter/profile.rs
@@ -19,6 +19,9 @@
 /// the high quantile, and a hedge sent after that delay would be too late.
 const MAX_HEDGE_FACTOR: f64 = 2.2;
 
+/// The ratio of the latency that hardly any attempt exceeds to the high quantile.
+const UPPER_FACTOR: f64 = 3.0;
+
 /// Tracks the latency of the attempts of one route and the time budgets of its callers.
 #[derive(Debug)]
 pub struct RouteProfile {
@@ -56,6 +59,11 @@
         self.high_quantile.estimate().clamp(min, max)
     }
 
+    /// Returns a latency that hardly any attempt exceeds.
+    pub fn upper_latency(&self) -> Duration {
+        self.high_quantile.estimate().max(self.typical_latency()).mul_f64(UPPER_FACTOR)
+    }
+
     /// Returns the age at which an attempt is hedged that has `left` to the latency goal: earlier than
     /// [`Self::hedge_delay`] if only then the answer of the hedge can meet the goal.
     pub fn hedge_delay_within(&self, left: Duration) -> Duration {
--- a/crates/figglade/src/filter/shutdown.rs
+++ b/crates/figglade/src/filter/shutdown.rs
@@ -14,6 +14,9 @@
 /// How much earlier than the kill at the end of the grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// How much earlier than the exit the last answers are ready, so that they are still written.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// The times of a planned stop: from the request to stop to the exit of the process, before the
 /// platform kills it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,12 +49,23 @@
         self.started_at + self.grace.saturating_sub(EXIT_MARGIN)
     }
 
-    /// Returns whether a request that arrives at `now` is served.
+    /// Returns whether a request that arrives at `now` is served, which ends most likely by
+    /// `likely_end` and certainly by `deadline`.
     ///
     /// Once the load balancer has removed the instance, a refused caller reaches another instance
     /// with its next connection. A request that may outlast the process is then better refused than
     /// cut off, because a cut-off request may have run.
-    pub fn admits(&self, now: Timestamp, deadline: Timestamp) -> bool {
-        now < self.drains_at() || deadline <= self.exits_at()
+    pub fn admits(&self, now: Timestamp, likely_end: Timestamp, deadline: Timestamp) -> bool {
+        now < self.drains_at() || likely_end.min(deadline) <= self.last_answer_at()
+    }
+
+    /// Returns the time by which a request with this deadline is answered: before the process exits,
+    /// so that its caller gets an answer in any case.
+    pub fn limit_deadline(&self, deadline: Timestamp) -> Timestamp {
+        deadline.min(self.last_answer_at())
+    }
+
+    fn last_answer_at(&self) -> Timestamp {
+        self.exits_at() - LAST_ANSWER_MARGIN
     }
 }
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -15,7 +15,9 @@
     controller::{
         aggregators::AggregatorAddress,
         census::InstanceCensus,
-        route_set::{CallerLimits, Destination, RouteSet, RouteSetVersion, RouteSpec, RouteTable},
+        route_set::{
+            CallerLimits, Destination, RepeatRule, RouteSet, RouteSetVersion, RouteSpec, RouteTable,
+        },
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::{
@@ -151,10 +153,21 @@
         self.shutdown.get().is_some()
     }
 
-    /// Returns whether a request that arrives at `now` is served; during a planned stop it may be
-    /// too late for that.
-    pub(super) fn admits(&self, now: Timestamp, deadline: Timestamp) -> bool {
-        self.shutdown.get().is_none_or(|plan| plan.admits(now, deadline))
+    /// Returns whether a request on `route` that arrives at `now` is served; during a planned stop it
+    /// may be too late for that.
+    pub(super) fn admits(&self, route: &RouteSpec, now: Timestamp, deadline: Timestamp) -> bool {
+        let Some(plan) = self.shutdown.get() else { return true };
+        let likely_end = match route.repeat {
+            RepeatRule::Idempotent => now + self.profile_of(route).upper_latency(),
+            // The caller cannot repeat it after an answer that leaves open whether it has run.
+            RepeatRule::AtMostOnce => deadline,
+        };
+        plan.admits(now, likely_end, deadline)
+    }
+
+    /// Returns the time by which a request with this deadline is answered.
+    pub(super) fn limit_deadline(&self, deadline: Timestamp) -> Timestamp {
+        self.shutdown.get().map_or(deadline, |plan| plan.limit_deadline(deadline))
     }
 
     /// Returns the counters of the data path.
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -116,7 +116,7 @@
         let wait = caller.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
         let id = caller.request_id;
-        if !self.edge.admits(arrived, deadline) {
+        if !self.edge.admits(route, arrived, deadline) {
             let reason = "the instance stops before the request would have ended";
             let end = RequestEnd::plain(self.refuse(reason), "stopping");
             return self.finish(end, Some(route), version, id.as_ref(), arrived, deadline);
@@ -126,6 +126,7 @@
                 RequestEnd::plain(self.refuse("too many requests are in progress"), "overloaded");
             return self.finish(end, Some(route), version, id.as_ref(), arrived, deadline);
         }
+        let deadline = self.edge.limit_deadline(deadline);
         let _active = ActiveCount::start(&self.active);
         let spent = self.edge.profile_of(route).time_spent_before(wait);
         let order = ForwardOrder {
