Read no further requests once a stopping process is idle

Callers that sent a request in the milliseconds before the exit of a stopping process lost the connection after the request had been passed on.

Cause: the wait for the end of all requests was followed by the wait for the searches of other instances and by the close of the links, and meanwhile the listener and connections with bytes at hand were served as before. Ruled out: the time limit of the request, which fitted into the grace period; it was the missing end of reading.

Change: the searches of other instances are awaited first; then `close_when_idle` waits for the last request and ends all reading in the same step, without a point at which another task could run. Hubs use it too.

--- a/crates/figgladed/src/http1/server.rs
+++ b/crates/figgladed/src/http1/server.rs
@@ -56,8 +56,11 @@
     Serving,
     /// Handles requests and closes each connection after its next response.
     Draining,
-    /// Completes the requests already being read or handled and starts no others.
+    /// Closes idle connections and completes the requests that are being read or handled, and those
+    /// that still arrive.
     Finishing,
+    /// Reads no further requests.
+    Closed,
 }
 
 /// Shuts the servers of a process down phase by phase and counts their active requests.
@@ -99,9 +102,10 @@
         self.active.get()
     }
 
-    /// Waits until no request is being read or handled, at most for `limit`. Connections first get
-    /// the time to observe the phase, since bytes that were already read belong to a request.
-    pub async fn wait_idle(&self, limit: Duration) {
+    /// Waits until no request is being read or handled, at most for `limit`, and then reads no further
+    /// requests. Connections first get the time to observe the phase, since bytes that were already
+    /// read belong to a request.
+    pub async fn close_when_idle(&self, limit: Duration) {
         let idle = async {
             sleep(PHASE_CHANGE_DELAY).await;
             while self.active.get() > 0 {
@@ -110,12 +114,13 @@
         };
         // Requests still active after the limit end with the process, which logs them.
         let _ = timeout(limit, idle).await;
+        self.advance(ServerPhase::Closed);
     }
 
     async fn wait_finishing(&self) {
         loop {
             let changed = self.changed.notified();
-            if self.phase.get() == ServerPhase::Finishing {
+            if self.phase.get() >= ServerPhase::Finishing {
                 return;
             }
             changed.await;
@@ -266,8 +271,12 @@
     }
 
     /// Returns whether bytes arrived before the connection closed, the idle timeout passed or the
-    /// server entered [`ServerPhase::Finishing`].
+    /// server entered [`ServerPhase::Finishing`]. In [`ServerPhase::Closed`] nothing is read, as the
+    /// process exits before the request would have ended.
     async fn wait_first_byte(&mut self) -> bool {
+        if self.switch.phase() == ServerPhase::Closed {
+            return false;
+        }
         let idle = self.handler.limits().idle_timeout;
         tokio::select! {
             biased;
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -113,7 +113,7 @@
     info!(log, "process: the edge stops"; "active" => switch.active());
     let plan = ShutdownPlan::new(clock.now(), grace);
     edge.begin_shutdown(plan);
-    finish_requests(&switch, &aggregator, plan, &clock).await;
+    finish_requests(&switch, &aggregator, plan, &clock, &log).await;
     info!(log, "process: the edge stopped"; "cut_off" => switch.active());
     transport.close().await;
     Ok(())
@@ -126,15 +126,20 @@
     aggregator: &AggregatorService,
     plan: ShutdownPlan,
     clock: &ProcessClock,
+    log: &Logger,
 ) {
     sleep_until(clock.instant_of(plan.drains_at())).await;
     switch.advance(ServerPhase::Draining);
     sleep_until(clock.instant_of(plan.closes_idle_at())).await;
     switch.advance(ServerPhase::Finishing);
     let time_left = plan.exits_at().since(clock.now());
+    // No search is accepted any more, so that none begins after this wait.
     let searches_end = timeout(time_left, aggregator.wait_idle());
+    if searches_end.await.is_err() {
+        info!(log, "process: the edge stops before searches of other instances have ended");
+    }
     // The log line of the stop reports how many requests are still in flight.
-    let ((), _) = tokio::join!(switch.wait_idle(time_left), searches_end);
+    switch.close_when_idle(plan.exits_at().since(clock.now())).await;
 }
 
 async fn maintain(edge: Rc<EdgeState>, handover: Rc<SearchHandover>) {
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -111,7 +111,7 @@
     node.leave();
     sleep(STOP_DELAY).await;
     switch.advance(ServerPhase::Finishing);
-    switch.wait_idle(CALL_DRAIN_TIMEOUT).await;
+    switch.close_when_idle(CALL_DRAIN_TIMEOUT).await;
     stop_parts(transport, &running).await;
     info!(log, "process: the hub stopped");
     Ok(())
