Bound incomplete answers by the memory of the instance

Cause: the bound of 48 MiB for all incomplete answers did not follow the memory of the machine, and the process takes about three times the bytes that it holds. At the bound, whichever connection read next was closed. Ruled out: heads and chunk lines, whose bounds held.

Change: `filter::answer_buffers::BufferLimit` takes a sixteenth of the memory in the settings (`memoryMb`, now read and checked) and lets an answer grow while it is no larger than what is left. Why it works: endless answers stop each other, however many there are, and a small answer beside them finds room. The largest answer is now 5 MiB on a machine of 160 MiB, formerly 16 MiB on any.

The three tests of answer_buffers, all of odd_targets and settings pass.

--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -2,6 +2,7 @@
 //! replica choice, hedges and retries, and merging with the coverage.
 
 pub mod admission;
+pub mod answer_buffers;
 pub mod budget;
 pub mod fanout;
 pub mod latency;
--- a/crates/figglade/src/ids.rs
+++ b/crates/figglade/src/ids.rs
@@ -159,6 +159,10 @@
     /// The CPU capacity of an instance, in thousandths of a core.
     CoreShare, u32
 }
+number_id! {
+    /// An amount of memory, in bytes.
+    MemorySize, u64
+}
 number_id! {
     /// Identifies one attempt: the transmission of one request to one target.
     AttemptId, u128
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -11,7 +11,7 @@
 };
 
 use figglade::{
-    CoreShare, InstanceId, ServiceName, Timestamp, ZoneName,
+    CoreShare, InstanceId, MemorySize, ServiceName, Timestamp, ZoneName,
     controller::{
         aggregators::AggregatorAddress,
         census::InstanceCensus,
@@ -21,6 +21,7 @@
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::{
+        answer_buffers::BufferLimit,
         scatter::{
             AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
             ReplicaState, RouteProfile, ServiceState, ZoneCoverage, plan_connections,
@@ -56,6 +57,8 @@
     pub peer: SocketAddr,
     /// The processor time available to the instance.
     pub cores: CoreShare,
+    /// The memory that the process may use.
+    pub memory: MemorySize,
     /// The extra attempts allowed per first attempt, summed over all instances.
     pub budget_ratio: f64,
     /// The extra attempts that are always allowed in a window, summed over all instances.
@@ -114,6 +117,7 @@
             log: log.clone(),
             drains: Rc::clone(&drains),
             metrics: Rc::clone(&metrics),
+            buffer_limit: BufferLimit::new(rules.memory),
             buffered: Rc::default(),
         };
         let picker = AggregatorPicker::new(rules.peer, rules.zone.clone());
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -28,12 +28,6 @@
 const READ_BUFFER_BYTES: usize = 8_192;
 /// The maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// The maximum size of the body of an answer, in bytes; it is buffered completely before it is
-/// relayed.
-const MAX_BODY_BYTES: usize = 16 << 20;
-/// The maximum size of the incomplete answers of all targets, in bytes: a fraction of the memory of a
-/// small machine. Targets that send bytes without end must not exhaust it.
-const MAX_BUFFERED_BYTES: usize = 48 << 20;
 /// The age below which a close without an answer means that the target accepts no more connections.
 /// A connection lost while a request ran is older, as the request itself takes longer.
 const TURN_AWAY_MAX_AGE: Duration = Duration::from_millis(4);
@@ -213,7 +207,8 @@
                 }
             }
             let held = pending.as_ref().map_or(0, |answer| answer.reader.held_bytes());
-            if self.record_buffered(buffer.len() + held) > MAX_BUFFERED_BYTES {
+            let own = buffer.len() + held;
+            if !self.context.buffer_limit.allows(own, self.record_buffered(own)) {
                 self.log_unreadable(&HttpError::BodyTooLarge);
                 return AttemptEnd::Lost;
             }
@@ -322,7 +317,7 @@
             state.interim_bytes = 0;
             drop(state);
             let framing = frame_response(&head, is_to_head)?;
-            let reader = BodyReader::start(framing, MAX_BODY_BYTES)?;
+            let reader = BodyReader::start(framing, self.context.buffer_limit.max_answer_bytes())?;
             let metadata = self.context.names.read_answer(&head);
             return Ok(Some(PendingAnswer { head, metadata, reader }));
         }
--- a/crates/figgladed/src/relay/pool.rs
+++ b/crates/figgladed/src/relay/pool.rs
@@ -13,7 +13,10 @@
 use figglade::{
     Timestamp,
     controller::route_set::RepeatRule,
-    filter::scatter::{AttemptEnd, ReplicaState},
+    filter::{
+        answer_buffers::BufferLimit,
+        scatter::{AttemptEnd, ReplicaState},
+    },
 };
 use slog::{Logger, debug};
 use tokio::{
@@ -153,6 +156,7 @@
     /// Receives the targets that say that they are leaving.
     pub(super) drains: Rc<DrainInbox>,
     pub(super) metrics: Rc<RelayMetrics>,
+    pub(super) buffer_limit: BufferLimit,
     /// The size of the incomplete answers on all connections, in bytes.
     pub(super) buffered: Rc<Cell<usize>>,
 }
