Remove a target from its former service when it starts for another

A target that started again under its id for another service went on getting, and running, the requests of its former service (ROUTE).

Cause: an instance replaced the target only in the list of the service that the new record names. The intended id in each request is the same for both starts, so that the target does not turn the requests away.

Change: a record that changes the service removes the target from the list of the former one.

Test: a_target_that_changes_its_service_gets_no_requests_of_the_former_one failed before ("left: 8, right: 0" runs) and passes.

--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -11,7 +11,7 @@
 };
 
 use figglade::{
-    CoreShare, InstanceId, MemorySize, ServiceName, Timestamp, ZoneName,
+    CoreShare, InstanceId, MemorySize, ServiceName, TargetId, Timestamp, ZoneName,
     controller::{
         aggregators::AggregatorAddress,
         census::InstanceCensus,
@@ -212,7 +212,18 @@
         let now = self.clock.now();
         let mut changes = Vec::new();
         for record in records {
-            changes.extend(self.directory.borrow_mut().merge(record, now));
+            let mut directory = self.directory.borrow_mut();
+            let former = directory.get(&record.id).map(|held| held.service.clone());
+            let id = record.id.clone();
+            let merged = directory.merge(record, now);
+            let service = merged.iter().find(|changed| changed.id == id).map(|held| &held.service);
+            if let (Some(former), Some(service)) = (former, service)
+                && former != *service
+            {
+                // The start that is known now belongs to another service.
+                self.remove_replica(&former, &id);
+            }
+            changes.extend(merged);
         }
         for record in &changes {
             info!(self.log, "relay: a target changed"; "target" => %record.id,
@@ -460,6 +471,18 @@
         BudgetRules { slack_from, ..shared }
     }
 
+    fn remove_replica(&self, service: &ServiceName, id: &TargetId) {
+        let service = self.service(service);
+        service.replicas.borrow_mut().retain(|held| {
+            let is_kept = held.spec.id != *id;
+            if !is_kept {
+                held.is_usable.set(false);
+            }
+            is_kept
+        });
+        self.divide_connections(&service);
+    }
+
     fn apply_record(&self, record: &TargetRecord, now: Timestamp) {
         let service = self.service(&record.service);
         let mut replicas = service.replicas.borrow_mut();
