Keep targets in use that an unknown service claims

Change: a target is removed from its former service only for a service that the route set names, when the record or the route set arrives.

--- a/crates/figglade/src/filter/shutdown.rs
+++ b/crates/figglade/src/filter/shutdown.rs
@@ -13,7 +13,6 @@
 const IDLE_CLOSE_FRACTION: f64 = 0.75;
 /// How much earlier than the kill at the end of the grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-
 /// How much earlier than the exit the last answers are ready, so that they are still written.
 const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -204,6 +204,7 @@
         self.balances.borrow_mut().clear();
         self.coverages.borrow_mut().clear();
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(Arc::new(set))));
+        self.remove_moved_replicas();
         self.refresh_limits();
     }
 
@@ -211,19 +212,12 @@
     pub fn apply_records(&self, records: Vec<TargetRecord>) -> usize {
         let now = self.clock.now();
         let mut changes = Vec::new();
+        let mut has_moved = false;
         for record in records {
             let mut directory = self.directory.borrow_mut();
-            let former = directory.get(&record.id).map(|held| held.service.clone());
-            let id = record.id.clone();
-            let merged = directory.merge(record, now);
-            let service = merged.iter().find(|changed| changed.id == id).map(|held| &held.service);
-            if let (Some(former), Some(service)) = (former, service)
-                && former != *service
-            {
-                // The start that is known now belongs to another service.
-                self.remove_replica(&former, &id);
-            }
-            changes.extend(merged);
+            has_moved |=
+                directory.get(&record.id).is_some_and(|held| held.service != record.service);
+            changes.extend(directory.merge(record, now));
         }
         for record in &changes {
             info!(self.log, "relay: a target changed"; "target" => %record.id,
@@ -232,6 +226,9 @@
                 "incarnation" => %record.incarnation, "sequence" => record.sequence);
             self.apply_record(record, now);
         }
+        if has_moved {
+            self.remove_moved_replicas();
+        }
         if !changes.is_empty() {
             self.coverages.borrow_mut().clear();
         }
@@ -471,16 +468,35 @@
         BudgetRules { slack_from, ..shared }
     }
 
-    fn remove_replica(&self, service: &ServiceName, id: &TargetId) {
-        let service = self.service(service);
-        service.replicas.borrow_mut().retain(|held| {
-            let is_kept = held.spec.id != *id;
-            if !is_kept {
-                held.is_usable.set(false);
+    /// Removes targets that have started again for another service from their former one. A record of
+    /// a service that the route set does not name removes nothing: it may be an odd entry of another
+    /// writer.
+    fn remove_moved_replicas(&self) {
+        let Some(table) = self.routes() else { return };
+        let services: Vec<_> = self.services.borrow().values().cloned().collect();
+        for service in services {
+            let directory = self.directory.borrow();
+            let has_moved = |id: &TargetId| {
+                let held = directory.get(id);
+                held.is_some_and(|record| {
+                    record.service != service.name && table.find_service(&record.service).is_some()
+                })
+            };
+            let mut replicas = service.replicas.borrow_mut();
+            let count = replicas.len();
+            replicas.retain(|held| {
+                let is_kept = !has_moved(&held.spec.id);
+                if !is_kept {
+                    held.is_usable.set(false);
+                }
+                is_kept
+            });
+            let is_changed = replicas.len() != count;
+            drop(replicas);
+            if is_changed {
+                self.divide_connections(&service);
             }
-            is_kept
-        });
-        self.divide_connections(&service);
+        }
     }
 
     fn apply_record(&self, record: &TargetRecord, now: Timestamp) {
