Decode customers with their keys and check the key of each request

Cause: route sets of some deployments hold customers, and the tier ignored them: it served requests without a key and forwarded keys to targets.

Change: the route set has customers, each with keys, a priority and a quota, and routes that are public. A key that two customers share and a negative rate or burst are rejected. `filter::access` decides by key, 401 or 503 where the route set is not proved to be the newest; the head written for targets names the customer and carries neither the key nor what the caller said of its customer. Without customers nothing changes.

--- a/crates/figglade/src/controller/route_set/check.rs
+++ b/crates/figglade/src/controller/route_set/check.rs
@@ -5,8 +5,8 @@
 use derive_more::{Display, Error};
 
 use crate::{
-    ServiceName,
-    controller::route_set::{Destination, RouteSet, RouteSpec},
+    CustomerName, ServiceName,
+    controller::route_set::{Destination, RouteSet, RouteSpec, customers::check_customers},
 };
 
 /// The reason why a route set was refused; the one in force does not change.
@@ -60,6 +60,21 @@
         /// The prefix.
         prefix: String,
     },
+    /// Two customers have the same key.
+    #[display("customers {first} and {second} have the same key")]
+    SharedKey {
+        /// The customer that comes first in the set.
+        first: CustomerName,
+        /// The other customer.
+        second: CustomerName,
+    },
+    /// The rate or the burst of a customer is negative or not finite.
+    #[display("rate and burst of customer {customer} must be finite numbers of at least 0")]
+    InvalidQuota {
+        /// The customer.
+        #[error(not(source))]
+        customer: CustomerName,
+    },
     /// A route has no destination.
     #[display("route {route:?} must name a service, weighted services or shards")]
     NoDestination {
@@ -76,6 +91,7 @@
 /// Fails with the first problem found.
 pub fn check_routes(set: &RouteSet) -> Result<(), RouteSetError> {
     let services: HashSet<_> = set.services.iter().map(|service| &service.name).collect();
+    check_customers(set.customers.as_deref().unwrap_or_default())?;
     let mut first_routes = std::collections::HashMap::new();
     for route in &set.routes {
         check_route(route, &services)?;
--- a/crates/figglade/src/controller/route_set/mod.rs
+++ b/crates/figglade/src/controller/route_set/mod.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod check;
+mod customers;
 mod table;
 mod types;
 
@@ -16,6 +17,7 @@
         CurrentRouteSet, MAX_ROUTE_DOCUMENT_BYTES, RouteDocument, RoutePut, RouteReply, UnpackError,
     },
     check::{RouteSetError, check_routes},
+    customers::{CallerKey, CustomerQuota, CustomerSpec, CustomerTable},
     table::RouteTable,
     types::{
         CallerLimits, Destination, RepeatRule, RouteCodec, RouteSet, RouteSpec, ServiceSpec,
--- a/crates/figglade/src/controller/route_set/table.rs
+++ b/crates/figglade/src/controller/route_set/table.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ServiceName,
-    controller::route_set::{RouteSet, RouteSpec, ServiceSpec},
+    controller::route_set::{CustomerSpec, CustomerTable, RouteSet, RouteSpec, ServiceSpec},
 };
 
 /// Finds the route of a request. The cost of a lookup depends on the number of path segments only,
@@ -15,6 +15,7 @@
     hosts: HashMap<String, HashMap<String, usize>>,
     services: HashMap<ServiceName, usize>,
     names: HashMap<String, usize>,
+    customers: CustomerTable,
 }
 
 impl RouteTable {
@@ -28,7 +29,20 @@
         let names = routes.map(|(position, route)| (route.name.clone(), position)).collect();
         let specs = set.services.iter().enumerate();
         let services = specs.map(|(position, spec)| (spec.name.clone(), position)).collect();
-        Self { set, hosts, services, names }
+        let customers = CustomerTable::new(set.customers.as_deref().unwrap_or_default());
+        Self { set, hosts, services, names, customers }
+    }
+
+    /// Returns whether the route set has customers, so that requests on routes that are not public
+    /// need a key.
+    pub fn has_customers(&self) -> bool {
+        self.set.customers.is_some()
+    }
+
+    /// Returns the customer that holds `key`.
+    pub fn find_customer(&self, key: &[u8]) -> Option<&CustomerSpec> {
+        let position = self.customers.find(key)?;
+        self.set.customers.as_ref()?.get(position)
     }
 
     /// Returns the service with this name.
--- a/crates/figglade/src/controller/route_set/types.rs
+++ b/crates/figglade/src/controller/route_set/types.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::{RouteSetVersion, ServiceName, controller::route_set::RouteSetError};
+use crate::{
+    RouteSetVersion, ServiceName,
+    controller::route_set::{CustomerSpec, RouteSetError},
+};
 
 /// Routes, the services that they name, and the limits for callers.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +18,9 @@
     pub services: Vec<ServiceSpec>,
     /// The limits for callers.
     pub limits: CallerLimits,
+    /// The customers, one of which the key of a request must belong to; `None` where callers need no
+    /// key.
+    pub customers: Option<Vec<CustomerSpec>>,
 }
 
 /// One route.
@@ -38,6 +44,8 @@
     pub max_attempts: u32,
     /// The services that answer.
     pub destination: Destination,
+    /// Whether callers need no key although the route set has customers.
+    pub is_public: bool,
 }
 
 impl RouteSpec {
--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -1,6 +1,7 @@
-//! Stages of a request: admission, also during a planned stop, pinning of a snapshot, fan-out with
+//! Stages of a request: access by key, admission, also during a planned stop, pinning of a snapshot, fan-out with
 //! replica choice, hedges and retries, and merging with the coverage.
 
+pub mod access;
 pub mod admission;
 pub mod answer_buffers;
 pub mod budget;
--- a/crates/figglade/src/ids.rs
+++ b/crates/figglade/src/ids.rs
@@ -101,6 +101,10 @@
     /// Identifies one service: a set of interchangeable targets.
     ServiceName
 }
+text_id! {
+    /// Identifies one customer of the callers.
+    CustomerName
+}
 text_id! {
     /// Identifies one configuration change; chosen by the operator, so that the change can be
     /// resent safely.
@@ -168,6 +172,37 @@
     AttemptId, u128
 }
 
+/// A number of requests per second.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    DeriveFromStr,
+    From,
+    Into,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}/s")]
+#[serde(transparent)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Wraps a number of requests per second.
+    pub const fn new(per_second: f64) -> Self {
+        Self(per_second)
+    }
+
+    /// Returns the number of requests per second.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
 /// Identifies one request of a caller.
 #[derive(
     Clone,
--- a/crates/figglade/tests/route_set.rs
+++ b/crates/figglade/tests/route_set.rs
@@ -26,6 +26,7 @@
         priority: 1,
         max_attempts: 2,
         destination: Destination::Service("desk".parse().unwrap()),
+        is_public: false,
     }
 }
 
@@ -36,6 +37,7 @@
         routes,
         services: vec![service("desk"), service("archive")],
         limits: CallerLimits::default(),
+        customers: None,
     }
 }
 
--- a/crates/figgladed/src/relay/aggregate.rs
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -146,6 +146,7 @@
             request_id: id.unwrap_or_default(),
             route: Some(route),
             version: Some(table.set().version),
+            customer: "",
             // The instance that handed the search over chooses the status for the caller.
             status: 0,
             is_answered: matches!(reply, SearchReply::Answered(_)),
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -4,7 +4,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use figglade::{
-    Timestamp,
+    CustomerName, Timestamp,
     controller::route_set::{Destination, RepeatRule, RouteSpec},
     filter::scatter::{
         AttemptEnd, AttemptKind, CutoffTimes, FailureReason, ReplicaState, RouteProfile,
@@ -55,20 +55,39 @@
     }
 }
 
+/// What targets are told of the customer of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CustomerHeader<'a> {
+    /// The route set has no customers; the headers of the caller are forwarded.
+    Forwarded,
+    /// The name of the customer, if there is one, replaces the headers of the caller.
+    Replaced(Option<&'a CustomerName>),
+}
+
 /// Writes the head of a request for targets, without hop-by-hop headers and those that differ
 /// between targets.
-pub(super) fn write_head(request: &HttpRequest, names: &HeaderNames) -> Bytes {
+pub(super) fn write_head(
+    request: &HttpRequest,
+    names: &HeaderNames,
+    customer: CustomerHeader<'_>,
+) -> Bytes {
     let head = &request.head;
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(&head.method);
     out.put_u8(b' ');
     out.put_slice(&head.target);
     out.put_slice(b" HTTP/1.1\r\n");
+    let is_replaced = |name: &[u8]| {
+        names.is_own(name) || customer != CustomerHeader::Forwarded && names.is_identity(name)
+    };
     for field in &head.headers.0 {
-        if !head.headers.is_hop_by_hop_field(field) && !names.is_own(&field.name) {
+        if !head.headers.is_hop_by_hop_field(field) && !is_replaced(&field.name) {
             put_field(&mut out, &field.name, &field.value);
         }
     }
+    if let CustomerHeader::Replaced(Some(name)) = customer {
+        put_field(&mut out, names.customer.as_bytes(), name.as_str().as_bytes());
+    }
     let declares_body = head.headers.get("content-length").is_some()
         || head.headers.get("transfer-encoding").is_some();
     if declares_body || !request.body.is_empty() {
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -5,15 +5,20 @@
 use bytes::Bytes;
 use figglade::{
     Timestamp,
-    controller::route_set::{CallerLimits, Destination, RouteSetVersion, RouteSpec},
-    filter::scatter::{FailureReason, ScatterEnd},
+    controller::route_set::{
+        CallerLimits, CustomerSpec, Destination, RouteSetVersion, RouteSpec, RouteTable,
+    },
+    filter::{
+        access::{AccessDecision, decide_access},
+        scatter::{FailureReason, ScatterEnd},
+    },
 };
 use rand::RngExt;
 
 use super::{
     answer::{TargetAnswer, merge_answers},
     edge::EdgeState,
-    forward::{ForwardEnd, ForwardOrder, write_head},
+    forward::{CustomerHeader, ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
     request_log::{AttemptRecord, RequestRecord},
     search_message::MergedAnswer,
@@ -66,6 +71,28 @@
     }
 }
 
+/// What is known of a request while it is served.
+struct RequestContext<'a> {
+    request_id: Option<&'a Bytes>,
+    arrived: Timestamp,
+    deadline: Timestamp,
+    version: Option<RouteSetVersion>,
+    route: Option<&'a RouteSpec>,
+    customer: Option<&'a CustomerSpec>,
+}
+
+impl<'a> RequestContext<'a> {
+    const fn new(request_id: Option<&'a Bytes>, arrived: Timestamp) -> Self {
+        Self { request_id, arrived, deadline: arrived, version: None, route: None, customer: None }
+    }
+
+    /// Returns the priority of the customer, or else of the route.
+    fn priority(&self) -> u32 {
+        let own = self.customer.and_then(|customer| customer.priority);
+        own.or(self.route.map(|route| route.priority)).unwrap_or_default()
+    }
+}
+
 /// The end of a request, for the log and the metrics.
 struct RequestEnd {
     response: HttpResponse,
@@ -99,44 +126,74 @@
     async fn answer(&self, request: HttpRequest) -> HttpResponse {
         let arrived = self.edge.clock.now();
         let caller = self.edge.names.read_caller(&request.head);
+        let mut context = RequestContext::new(caller.request_id.as_ref(), arrived);
         let Some(table) = self.edge.routes() else {
-            let end = RequestEnd::plain(
-                self.refuse_while_starting("no route set is known yet"),
-                "no_routes",
-            );
-            return self.finish(end, None, None, caller.request_id.as_ref(), arrived, arrived);
+            let response = self.refuse_while_starting("no route set is known yet");
+            return self.finish(RequestEnd::plain(response, "no_routes"), &context);
         };
+        context.version = Some(table.set().version);
         let host = request.head.headers.text("host").unwrap_or_default();
         let path = std::str::from_utf8(request.head.path()).unwrap_or_default();
-        let version = Some(table.set().version);
         let Some(route) = table.find_route(host, path) else {
-            let end = self.answer_unrouted();
-            return self.finish(end, None, version, caller.request_id.as_ref(), arrived, arrived);
+            return self.finish(self.answer_unrouted(), &context);
         };
+        context.route = Some(route);
         let wait = caller.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-        let deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
-        let id = caller.request_id;
-        if !self.edge.admits(route, arrived, deadline) {
-            let reason = "the instance stops before the request would have ended";
-            let end = RequestEnd::plain(self.refuse(reason), "stopping");
-            return self.finish(end, Some(route), version, id.as_ref(), arrived, deadline);
+        context.deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
+        let is_current = self.edge.is_current();
+        match decide_access(&table, route, caller.key.as_deref(), is_current) {
+            AccessDecision::Granted(customer) => context.customer = customer,
+            AccessDecision::Denied => return self.finish(deny_key(), &context),
+            AccessDecision::Unproved => {
+                let response = self.refuse("the customers may be outdated");
+                return self.finish(RequestEnd::plain(response, "no_key_while_outdated"), &context);
+            }
         }
-        if !self.has_capacity(route.priority) {
-            let end =
-                RequestEnd::plain(self.refuse("too many requests are in progress"), "overloaded");
-            return self.finish(end, Some(route), version, id.as_ref(), arrived, deadline);
+        if let Some(refusal) = self.refuse_early(route, &context) {
+            return self.finish(refusal, &context);
         }
-        let deadline = self.edge.limit_deadline(deadline);
         let _active = ActiveCount::start(&self.active);
+        let end = self.serve(request, route, &table, &context, wait).await;
+        self.finish(end, &context)
+    }
+
+    /// Refuses a request that certainly cannot be served here now.
+    fn refuse_early(&self, route: &RouteSpec, context: &RequestContext<'_>) -> Option<RequestEnd> {
+        if !self.edge.admits(route, context.arrived, context.deadline) {
+            let reason = "the instance stops before the request would have ended";
+            return Some(RequestEnd::plain(self.refuse(reason), "stopping"));
+        }
+        if !self.has_capacity(context.priority()) {
+            let response = self.refuse("too many requests are in progress");
+            return Some(RequestEnd::plain(response, "overloaded"));
+        }
+        None
+    }
+
+    /// Hands a request over to an aggregator or forwards it to its targets.
+    async fn serve(
+        &self,
+        request: HttpRequest,
+        route: &RouteSpec,
+        table: &RouteTable,
+        context: &RequestContext<'_>,
+        wait: Duration,
+    ) -> RequestEnd {
+        let customer = if table.has_customers() {
+            CustomerHeader::Replaced(context.customer.map(|customer| &customer.name))
+        } else {
+            CustomerHeader::Forwarded
+        };
+        let arrived = context.arrived;
         let spent = self.edge.profile_of(route).time_spent_before(wait);
         let order = ForwardOrder {
-            head: write_head(&request, &self.edge.names),
+            head: write_head(&request, &self.edge.names, customer),
             body: request.body,
             is_head: &request.head.method[..] == b"HEAD",
-            request_id: id.clone(),
+            request_id: context.request_id.cloned(),
             arrived,
             goal: (arrived + route.latency_goal) - spent - CALLER_ROUND_TRIP,
-            deadline,
+            deadline: self.edge.limit_deadline(context.deadline),
         };
         let report = self.handover.hand_over(route, &order).await;
         let mut end = match report.end {
@@ -146,7 +203,7 @@
         if end.handover.is_empty() {
             end.handover = report.summary;
         }
-        self.finish(end, Some(route), version, id.as_ref(), arrived, deadline)
+        end
     }
 
     /// Answers a request that matches no route. Unless the route set is proved to be the newest, a
@@ -261,34 +318,27 @@
         RequestEnd { missing, ..RequestEnd::plain(response, outcome) }
     }
 
-    fn finish(
-        &self,
-        end: RequestEnd,
-        route: Option<&RouteSpec>,
-        version: Option<RouteSetVersion>,
-        request_id: Option<&Bytes>,
-        arrived: Timestamp,
-        deadline: Timestamp,
-    ) -> HttpResponse {
+    fn finish(&self, end: RequestEnd, context: &RequestContext<'_>) -> HttpResponse {
         let now = self.edge.clock.now();
-        let kind = match route.map(|route| &route.destination) {
+        let kind = match context.route.map(|route| &route.destination) {
             Some(Destination::Shards(_)) => "search",
             Some(_) => "forward",
             None => "unrouted",
         };
-        let elapsed = now.since(arrived);
+        let elapsed = now.since(context.arrived);
         self.edge.metrics.count_request(kind, end.outcome, end.missing, elapsed);
-        let id = request_id.and_then(|id| std::str::from_utf8(id).ok()).unwrap_or_default();
+        let id = context.request_id.and_then(|id| std::str::from_utf8(id).ok());
         let record = RequestRecord {
-            request_id: id,
-            route,
-            version,
+            request_id: id.unwrap_or_default(),
+            route: context.route,
+            version: context.version,
+            customer: context.customer.map_or("", |customer| customer.name.as_str()),
             status: end.response.status,
             is_answered: end.response.status < 400,
             outcome: end.outcome,
             missing: end.missing,
-            arrived,
-            deadline,
+            arrived: context.arrived,
+            deadline: context.deadline,
             attempts: &end.attempts,
             skipped: &end.skipped,
             handover: &end.handover,
@@ -298,6 +348,12 @@
     }
 }
 
+/// Answers a request whose key no customer holds.
+fn deny_key() -> RequestEnd {
+    let response = HttpResponse::text(401, "no customer holds the key of the request");
+    RequestEnd::plain(response, "key_denied")
+}
+
 impl HttpHandler for RelayHandler {
     fn handle(&self, request: HttpRequest) -> LocalFuture<'_, HttpResponse> {
         Box::pin(self.answer(request))
--- a/crates/figgladed/src/relay/headers.rs
+++ b/crates/figgladed/src/relay/headers.rs
@@ -26,6 +26,10 @@
     pub shard_proofs: &'static str,
     /// The number of shards that are missing from an answer.
     pub missing_shards: &'static str,
+    /// The key of a caller; never sent to targets.
+    pub caller_key: &'static str,
+    /// Names the customer of a request to its target.
+    pub customer: &'static str,
 }
 
 /// The header values of a caller's request.
@@ -35,6 +39,8 @@
     pub request_id: Option<Bytes>,
     /// How long the caller waits; `None` if it does not say.
     pub time_left: Option<Duration>,
+    /// The key of the caller; `None` if it sent none, or more than one.
+    pub key: Option<Bytes>,
 }
 
 /// The status and header values of a target's answer.
@@ -77,9 +83,12 @@
     /// Reads the head of a request.
     pub fn read_caller(&self, head: &RequestHead) -> CallerHead {
         let millis = head.headers.text(self.time_left).and_then(|text| text.trim().parse().ok());
+        let mut keys = head.headers.all(self.caller_key);
+        let key = keys.next().filter(|_| keys.next().is_none());
         CallerHead {
             request_id: head.headers.get(self.request_id).cloned(),
             time_left: millis.map(Duration::from_millis),
+            key: key.cloned(),
         }
     }
 
@@ -97,9 +106,18 @@
 
     /// Returns whether this tier sets the header itself on requests to targets.
     pub(super) fn is_own(&self, name: &[u8]) -> bool {
-        let own = [self.time_left, self.intended_target];
-        own.iter().any(|held| name.eq_ignore_ascii_case(held.as_bytes()))
+        is_any(name, &[self.time_left, self.intended_target])
     }
+
+    /// Returns whether the header says to which customer a request belongs. Targets get what this
+    /// tier found out instead of what the caller sent.
+    pub(super) fn is_identity(&self, name: &[u8]) -> bool {
+        is_any(name, &[self.caller_key, self.customer])
+    }
+}
+
+fn is_any(name: &[u8], headers: &[&str]) -> bool {
+    headers.iter().any(|held| name.eq_ignore_ascii_case(held.as_bytes()))
 }
 
 impl BackoffRequest {
--- a/crates/figgladed/src/relay/request_log.rs
+++ b/crates/figgladed/src/relay/request_log.rs
@@ -49,6 +49,8 @@
     pub(super) request_id: &'a str,
     pub(super) route: Option<&'a RouteSpec>,
     pub(super) version: Option<RouteSetVersion>,
+    /// The name of the customer, or nothing without one.
+    pub(super) customer: &'a str,
     /// The status that the caller gets; 0 if another instance answers the caller.
     pub(super) status: u16,
     pub(super) is_answered: bool,
@@ -101,6 +103,7 @@
         info!(self.log, "relay: a request ended"; "request" => request.request_id,
             "route" => request.route.map_or("", |route| route.name.as_str()),
             "route_set" => request.version.map_or(0, RouteSetVersion::get),
+            "customer" => request.customer,
             "status" => request.status, "outcome" => request.outcome, "missing" => request.missing,
             "elapsed_ms" => now.since(request.arrived).as_millis() as u64,
             "left_ms" => request.deadline.since(now).as_millis() as u64,
