Decide by load and rank which requests an instance admits

An instance counts the requests in progress, whatever they cost and whoever sent them. A burst of broad searches therefore makes urgent ones late, and a flood from one customer those of all others.

The module filter::overload measures how long new work waits for the thread (the minimum of several late timers, so that one late timer or a freeze counts for nothing), holds the fraction of the work that is admitted, and refuses the lowest ranks first: by priority, by a customer's own usual rate, by the latency goal and by the work. A floor keeps each class and customer above a quarter of what all get.

--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -9,6 +9,7 @@
 pub mod latency;
 pub mod load;
 pub mod merge;
+pub mod overload;
 pub mod picker;
 pub mod ranked;
 pub mod routing;
