Admit requests and searches by load where the route set asks for it

The edge refused beyond a fixed number of requests, and an aggregator beyond a number of searches, without regard to the delay of their threads or to what a search costs.

The edge samples the delay of its thread and asks filter::overload before it serves a request; the fixed count remains elsewhere. A probe carries the priority, the shards and the time left, and an aggregator that declines for load says when it has room; it is not ejected. Probes with a load are encoded with field names: rmp-serde rejects a longer array, so the previous release would not read a new field without a name.

--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -98,6 +98,7 @@
     let switch = Rc::new(ShutdownSignal::default());
     spawn_local(Rc::clone(&follower).run(received));
     let handover = Rc::new(SearchHandover::new(Rc::clone(&edge), Rc::new(transport.handle())));
+    spawn_local(Rc::clone(edge.overload()).run());
     spawn_local(maintain(Rc::clone(&edge), Rc::clone(&handover)));
     let aggregator = Rc::new(AggregatorService::new(Rc::clone(&edge), Rc::clone(&handover)));
     spawn_local(Rc::clone(&aggregator).run(received_searches));
--- a/crates/figgladed/src/relay/aggregate.rs
+++ b/crates/figgladed/src/relay/aggregate.rs
@@ -4,8 +4,12 @@
 
 use figglade::{
     controller::route_set::{Destination, RouteSpec, RouteTable},
-    filter::scatter::ScatterEnd,
+    filter::{
+        overload::{LoadDecision, LoadRank, LoadRequest, min_answer_time},
+        scatter::ScatterEnd,
+    },
 };
+use slog::debug;
 use tokio::{
     sync::{Notify, mpsc, oneshot},
     task::spawn_local,
@@ -18,7 +22,9 @@
     handler::ActiveCount,
     handover::SearchHandover,
     request_log::RequestRecord,
-    search_message::{DeclineReason, SearchMessage, SearchPlan, SearchReply, SearchRun},
+    search_message::{
+        DeclineReason, ProbeLoad, SearchMessage, SearchPlan, SearchProbe, SearchReply, SearchRun,
+    },
 };
 use crate::peer_link::PeerSender;
 
@@ -26,6 +32,8 @@
 /// progress on an aggregator at its usual rate. Further searches would wait for its processor and
 /// finish sooner on the instance that received them.
 const MAX_ACTIVE_SEARCHES: usize = 24;
+/// The maximum number where searches are admitted by load; it only bounds the memory.
+const MAX_ADMITTED_SEARCHES: usize = 96;
 
 /// A search message from another instance.
 #[derive(Debug)]
@@ -56,9 +64,9 @@
     pub async fn run(self: Rc<Self>, mut inputs: mpsc::Receiver<SearchInput>) {
         while let Some(SearchInput { from, message, reply }) = inputs.recv().await {
             match message {
-                SearchMessage::Probe(plan) => {
-                    let answer = match self.find_route(&plan) {
-                        Ok(_) => SearchReply::Ready,
+                SearchMessage::Probe(probe) => {
+                    let answer = match self.answer_probe(probe) {
+                        Ok(()) => SearchReply::Ready,
                         Err(reason) => SearchReply::Declined(reason),
                     };
                     // The sender may have stopped waiting.
@@ -107,6 +115,9 @@
             return SearchReply::Declined(DeclineReason::OtherPlan);
         };
         let _active = ActiveCount::start(&self.active);
+        let shards = if run.shards.is_empty() { plan.services.len() } else { run.shards.len() };
+        let overload = &self.edge.overload;
+        let _work = overload.start_work(overload.work_of(shards));
         let arrived = self.edge.clock.now();
         let order = ForwardOrder {
             head: run.head,
@@ -116,6 +127,7 @@
             arrived,
             goal: arrived + run.goal_left,
             deadline: arrived + run.deadline_left,
+            rank: LoadRank::of_priority(route.priority),
         };
         let (request_id, deadline) = (order.request_id.clone(), order.deadline);
         let forwarded = if run.shards.is_empty() {
@@ -162,13 +174,51 @@
         reply
     }
 
+    /// Accepts or declines a search that another instance is about to hand over.
+    fn answer_probe(&self, probe: SearchProbe) -> Result<(), DeclineReason> {
+        let SearchProbe { route, digest, load } = probe;
+        let (table, position) = self.find_route(&SearchPlan { route, digest })?;
+        match load {
+            Some(load) if self.edge.overload.is_in_force() => {
+                self.admit_search(&table.set().routes[position], load)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn admit_search(&self, route: &RouteSpec, load: ProbeLoad) -> Result<(), DeclineReason> {
+        let request = LoadRequest {
+            priority: load.priority,
+            // The instance that received the request counts it for its customer.
+            customer: None,
+            is_above_usual: load.is_above_usual,
+            work: self.edge.overload.work_of(load.shards as usize),
+            goal: route.latency_goal,
+            goal_left: load.goal_left,
+            deadline_left: load.deadline_left,
+            min_time: min_answer_time(route.latency_goal),
+            typical_time: self.edge.profile_of(route).typical_latency(),
+        };
+        match self.edge.overload.decide(&request, &mut *self.edge.rng.borrow_mut()) {
+            LoadDecision::Admit(_) => Ok(()),
+            LoadDecision::Refuse { reason, retry_after } => {
+                debug!(self.edge.log, "relay: declined a search of another instance";
+                    "route" => &route.name, "reason" => %reason);
+                Err(DeclineReason::Overloaded { retry_after })
+            }
+        }
+    }
+
     /// Returns the route table in force and the position of the plan's route in it, provided that
     /// this instance has the same shards for the route.
     fn find_route(&self, plan: &SearchPlan) -> Result<(Rc<RouteTable>, usize), DeclineReason> {
         if self.edge.is_stopping() {
             return Err(DeclineReason::Stopping);
         }
-        if self.active.get() >= MAX_ACTIVE_SEARCHES {
+        let is_admitted_by_load = self.edge.overload.is_in_force();
+        let max_active =
+            if is_admitted_by_load { MAX_ADMITTED_SEARCHES } else { MAX_ACTIVE_SEARCHES };
+        if self.active.get() >= max_active {
             return Err(DeclineReason::Busy);
         }
         let table = self.edge.routes().ok_or(DeclineReason::OtherPlan)?;
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -37,6 +37,7 @@
     drain_inbox::DrainInbox,
     headers::HeaderNames,
     metrics::RelayMetrics,
+    overload::OverloadControl,
     pool::{LinkContext, LinkPools},
     request_log::RequestLog,
 };
@@ -84,6 +85,8 @@
     pub(super) answer_delay: AnswerDelay,
     /// The delay of the partial answers of searches that other instances run for this one.
     pub(super) handover_delay: AnswerDelay,
+    /// The admission by load.
+    pub(super) overload: Rc<OverloadControl>,
     drains: Rc<DrainInbox>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     profiles: RefCell<HashMap<String, Rc<RouteProfile>>>,
@@ -122,10 +125,12 @@
         };
         let picker = AggregatorPicker::new(rules.peer, rules.zone.clone());
         let cores = rules.cores;
+        let overload = OverloadControl::new(clock, cores, Rc::clone(&metrics), log.clone());
         Self {
             clock,
             names,
             rules,
+            overload: Rc::new(overload),
             answer_delay: AnswerDelay::new(cores),
             handover_delay: AnswerDelay::new(cores),
             request_log: RequestLog::new(log.clone()),
@@ -203,6 +208,7 @@
         self.profiles.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.balances.borrow_mut().clear();
         self.coverages.borrow_mut().clear();
+        self.overload.apply_route_set(&set);
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(Arc::new(set))));
         self.remove_moved_replicas();
         self.refresh_limits();
@@ -309,6 +315,7 @@
     pub fn maintain(&self) {
         let now = self.clock.now();
         self.pools.maintain(now);
+        self.overload.record_state();
         self.directory.borrow_mut().purge_gone(now);
         if !self.census.borrow().has_count() {
             return;
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -6,9 +6,12 @@
 use figglade::{
     CustomerName, Timestamp,
     controller::route_set::{Destination, RepeatRule, RouteSpec},
-    filter::scatter::{
-        AttemptEnd, AttemptKind, CutoffTimes, FailureReason, ReplicaState, RouteProfile,
-        ScatterAction, ScatterEnd, ScatterRules, ScatterRun, ServiceState,
+    filter::{
+        overload::LoadRank,
+        scatter::{
+            AttemptEnd, AttemptKind, CutoffTimes, FailureReason, ReplicaState, RouteProfile,
+            ScatterAction, ScatterEnd, ScatterRules, ScatterRun, ServiceState,
+        },
     },
 };
 use tokio::time::sleep_until;
@@ -44,6 +47,8 @@
     /// When a search is answered without the shards that have not answered yet.
     pub(super) goal: Timestamp,
     pub(super) deadline: Timestamp,
+    /// Its place among the requests for which capacity may be short.
+    pub(super) rank: LoadRank,
 }
 
 impl ForwardOrder {
@@ -206,7 +211,7 @@
         services: Vec<Rc<ServiceState>>,
         min_answers: usize,
     ) -> Self {
-        let ForwardOrder { head, body, is_head, request_id, arrived, goal, deadline } = order;
+        let ForwardOrder { head, body, is_head, request_id, arrived, goal, deadline, .. } = order;
         let profile = edge.profile_of(route);
         let is_part = matches!(route.destination, Destination::Shards(_));
         let rules = ScatterRules {
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -10,6 +10,7 @@
     },
     filter::{
         access::{AccessDecision, decide_access},
+        overload::LoadRank,
         scatter::{FailureReason, ScatterEnd},
     },
 };
@@ -20,6 +21,7 @@
     edge::EdgeState,
     forward::{CustomerHeader, ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
+    overload::{AdmittedLoad, LoadClaim, LoadRefusal},
     request_log::{AttemptRecord, RequestRecord},
     search_message::MergedAnswer,
 };
@@ -79,11 +81,20 @@
     version: Option<RouteSetVersion>,
     route: Option<&'a RouteSpec>,
     customer: Option<&'a CustomerSpec>,
+    rank: LoadRank,
 }
 
 impl<'a> RequestContext<'a> {
     const fn new(request_id: Option<&'a Bytes>, arrived: Timestamp) -> Self {
-        Self { request_id, arrived, deadline: arrived, version: None, route: None, customer: None }
+        Self {
+            request_id,
+            arrived,
+            deadline: arrived,
+            version: None,
+            route: None,
+            customer: None,
+            rank: LoadRank::of_priority(0),
+        }
     }
 
     /// Returns the priority of the customer, or else of the route.
@@ -152,7 +163,18 @@
         if let Some(refusal) = self.refuse_early(route, &context) {
             return self.finish(refusal, &context);
         }
+        let work = match self.admit(route, &context, wait) {
+            Ok(AdmittedLoad { rank, work }) => {
+                context.rank = rank;
+                work
+            }
+            Err(LoadRefusal { text, outcome, retry_after }) => {
+                let response = refuse_until(text, retry_after);
+                return self.finish(RequestEnd::plain(response, outcome), &context);
+            }
+        };
         let _active = ActiveCount::start(&self.active);
+        let _work = self.edge.overload.start_work(work);
         let end = self.serve(request, route, &table, &context, wait).await;
         self.finish(end, &context)
     }
@@ -163,13 +185,44 @@
             let reason = "the instance stops before the request would have ended";
             return Some(RequestEnd::plain(self.refuse(reason), "stopping"));
         }
-        if !self.has_capacity(context.priority()) {
-            let response = self.refuse("too many requests are in progress");
-            return Some(RequestEnd::plain(response, "overloaded"));
-        }
         None
     }
 
+    /// Admits a request, by its load or by the number of requests in progress, or refuses it.
+    fn admit(
+        &self,
+        route: &RouteSpec,
+        context: &RequestContext<'_>,
+        wait: Duration,
+    ) -> Result<AdmittedLoad, LoadRefusal> {
+        let priority = context.priority();
+        let is_by_load = self.edge.overload.is_in_force();
+        // Where requests are admitted by load, their number only bounds the memory.
+        if !self.has_capacity(if is_by_load { 0 } else { priority }) {
+            return Err(LoadRefusal {
+                text: "too many requests are in progress",
+                outcome: "overloaded",
+                retry_after: self.spread_delay(MIN_RETRY_AFTER, RETRY_AFTER_SPREAD),
+            });
+        }
+        if !is_by_load {
+            return Ok(AdmittedLoad {
+                rank: LoadRank::of_priority(priority),
+                work: Duration::ZERO,
+            });
+        }
+        let now = self.edge.clock.now();
+        let spent = self.edge.profile_of(route).time_spent_before(wait);
+        let goal = context.arrived + route.latency_goal - spent - CALLER_ROUND_TRIP;
+        let claim = LoadClaim {
+            priority,
+            customer: context.customer.map(|customer| &customer.name),
+            goal_left: goal.since(now),
+            deadline_left: context.deadline.since(now),
+        };
+        self.edge.admit_by_load(route, &claim)
+    }
+
     /// Hands a request over to an aggregator or forwards it to its targets.
     async fn serve(
         &self,
@@ -194,11 +247,19 @@
             arrived,
             goal: (arrived + route.latency_goal) - spent - CALLER_ROUND_TRIP,
             deadline: self.edge.limit_deadline(context.deadline),
+            rank: context.rank,
         };
         let report = self.handover.hand_over(route, &order).await;
-        let mut end = match report.end {
-            Some(end) => self.complete_handover(end),
-            None => self.complete_forward(route, self.handover.forward(route, order).await),
+        // Without connections of its own, this instance would ask the targets in vain.
+        let overloaded_for =
+            report.overloaded_for.filter(|_| self.edge.is_connection_limited(route));
+        let mut end = match (report.end, overloaded_for) {
+            (Some(end), _) => self.complete_handover(end),
+            (None, Some(delay)) => {
+                let response = refuse_until("the aggregators are busy", delay);
+                RequestEnd::plain(response, "aggregators_overloaded")
+            }
+            (None, None) => self.complete_forward(route, self.handover.forward(route, order).await),
         };
         if end.handover.is_empty() {
             end.handover = report.summary;
@@ -233,10 +294,12 @@
     }
 
     fn refuse_for(&self, reason: &'static str, delay: Duration, spread: Duration) -> HttpResponse {
+        refuse_until(reason, self.spread_delay(delay, spread))
+    }
+
+    fn spread_delay(&self, delay: Duration, spread: Duration) -> Duration {
         let part = self.edge.rng.borrow_mut().random_range(0.0..1.0);
-        let after = delay + spread.mul_f64(part);
-        let seconds = format!("{:.3}", after.as_secs_f64());
-        HttpResponse::text(503, reason).with(text_field("retry-after", seconds))
+        delay + spread.mul_f64(part)
     }
 
     fn complete_forward(&self, route: &RouteSpec, forwarded: ForwardEnd) -> RequestEnd {
@@ -348,6 +411,12 @@
     }
 }
 
+/// Refuses a request that certainly has not run and will not run, until `after` has passed.
+fn refuse_until(reason: &'static str, after: Duration) -> HttpResponse {
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    HttpResponse::text(503, reason).with(text_field("retry-after", seconds))
+}
+
 /// Answers a request whose key no customer holds.
 fn deny_key() -> RequestEnd {
     let response = HttpResponse::text(401, "no customer holds the key of the request");
--- a/crates/figgladed/src/relay/handover.rs
+++ b/crates/figgladed/src/relay/handover.rs
@@ -15,7 +15,8 @@
     edge::EdgeState,
     forward::{ForwardCall, ForwardEnd, ForwardOrder},
     search_message::{
-        DeclineReason, MergedAnswer, SearchMessage, SearchPlan, SearchReply, SearchRun,
+        DeclineReason, MergedAnswer, ProbeLoad, SearchMessage, SearchPlan, SearchProbe,
+        SearchReply, SearchRun,
     },
 };
 use crate::{
@@ -127,6 +128,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct HandoverReport {
     pub(super) end: Option<HandoverEnd>,
+    /// The time until one of the aggregators that were tried has room, if all of them are busy with
+    /// work that takes precedence.
+    pub(super) overloaded_for: Option<Duration>,
     /// The aggregators that were tried and the result of each.
     pub(super) summary: String,
 }
@@ -136,6 +140,8 @@
 struct SearchPart {
     /// The positions of its shards; an empty list means all.
     shards: Vec<u32>,
+    /// The number of its shards.
+    count: usize,
     /// The minimum number of these shards that make a partial answer once the goal has passed.
     min_answers: usize,
 }
@@ -176,8 +182,12 @@
         }
         let plan = SearchPlan { route: route.name.clone(), digest };
         let Destination::Shards(shards) = &route.destination else { return report };
-        let part = SearchPart { shards: Vec::new(), min_answers: shards.min_shards() };
-        let mut tried = Vec::new();
+        let part = SearchPart {
+            shards: Vec::new(),
+            count: shards.services.len(),
+            min_answers: shards.min_shards(),
+        };
+        let (mut tried, mut delays) = (Vec::new(), Vec::new());
         while tried.len() < MAX_TRIED_AGGREGATORS {
             let now = self.edge.clock.now();
             let peer = {
@@ -188,11 +198,20 @@
             tried.push(peer);
             let end = self.hand_over_to(peer, &plan, &part, order).await;
             report.add(peer, &end, self.edge.clock.now().since(now));
-            if let Ok(end) = end {
-                report.end = Some(end);
-                return report;
+            match end {
+                Ok(end) => {
+                    report.end = Some(end);
+                    return report;
+                }
+                Err(ProbeFailure::Declined(DeclineReason::Overloaded { retry_after })) => {
+                    delays.push(retry_after);
+                }
+                Err(_) => {}
             }
         }
+        if delays.len() == tried.len() {
+            report.overloaded_for = delays.into_iter().min();
+        }
         report
     }
 
@@ -230,6 +249,7 @@
         let local = shards.services.len() - places.len();
         let part = SearchPart {
             shards: places.iter().map(|place| *place as u32).collect(),
+            count: places.len(),
             min_answers: shards.min_shards().saturating_sub(local),
         };
         let plan = SearchPlan { route: route.name.clone(), digest };
@@ -253,10 +273,18 @@
         part: &SearchPart,
         order: &ForwardOrder,
     ) -> Result<HandoverEnd, ProbeFailure> {
-        let goal_left = order.goal.since(self.edge.clock.now());
+        let now = self.edge.clock.now();
+        let goal_left = order.goal.since(now);
+        let load = self.edge.overload.is_in_force().then(|| ProbeLoad {
+            priority: order.rank.priority,
+            is_above_usual: order.rank.is_above_usual,
+            shards: part.count as u32,
+            goal_left,
+            deadline_left: order.deadline.since(now),
+        });
         let timeout =
             goal_left.mul_f64(PROBE_TIME_FRACTION).clamp(MIN_PROBE_TIMEOUT, MAX_PROBE_TIMEOUT);
-        let end = match self.probe(peer, plan.clone(), timeout).await {
+        let end = match self.probe(peer, SearchProbe::new(plan, load), timeout).await {
             Ok(round_trip) => self.run(peer, plan, part, order, round_trip).await,
             Err(failure) => Err(failure),
         };
@@ -280,10 +308,10 @@
             picker.take_due_probes(&coverage, should_hand_over, REFRESH_INTERVAL, now)
         };
         for peer in due {
-            let (handover, plan) = (self.clone(), plan.clone());
+            let (handover, probe) = (self.clone(), SearchProbe::new(&plan, None));
             spawn_local(async move {
                 // `probe` has recorded a failure in the aggregator picker.
-                let _ = handover.probe(peer, plan, REFRESH_TIMEOUT).await;
+                let _ = handover.probe(peer, probe, REFRESH_TIMEOUT).await;
             });
         }
     }
@@ -292,11 +320,11 @@
     async fn probe(
         &self,
         peer: SocketAddr,
-        plan: SearchPlan,
+        probe: SearchProbe,
         timeout: Duration,
     ) -> Result<Duration, ProbeFailure> {
         let started_at = self.edge.clock.now();
-        let reply = self.link.request(peer, &SearchMessage::Probe(plan), timeout).await;
+        let reply = self.link.request(peer, &SearchMessage::Probe(probe), timeout).await;
         let now = self.edge.clock.now();
         let mut picker = self.edge.aggregators().borrow_mut();
         let failure = match reply {
@@ -305,9 +333,12 @@
                 picker.record_answer(peer, round_trip, now);
                 return Ok(round_trip);
             }
-            // Not recorded as a failure: the aggregator may accept searches of other plans.
-            Ok(SearchReply::Declined(DeclineReason::OtherPlan)) => {
-                return Err(ProbeFailure::Declined(DeclineReason::OtherPlan));
+            // Not recorded as a failure: the aggregator may accept searches of other plans, or those
+            // that take precedence.
+            Ok(SearchReply::Declined(
+                reason @ (DeclineReason::OtherPlan | DeclineReason::Overloaded { .. }),
+            )) => {
+                return Err(ProbeFailure::Declined(reason));
             }
             Ok(SearchReply::Declined(reason)) => ProbeFailure::Declined(reason),
             Ok(_) => ProbeFailure::NoAnswer("unexpected reply".to_owned()),
@@ -354,7 +385,7 @@
                 () = sleep_until(self.edge.clock.instant_of(check_at)) => {
                     // A machine that lost power or its network closes no connection, so only a
                     // probe shows that it is gone.
-                    let check = self.probe(peer, plan.clone(), CHECK_TIMEOUT);
+                    let check = self.probe(peer, SearchProbe::new(plan, None), CHECK_TIMEOUT);
                     tokio::select! {
                         biased;
                         answer = &mut pending => break answer,
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -38,6 +38,10 @@
     attempts: RefCell<BTreeMap<String, u64>>,
     ends: RefCell<BTreeMap<String, u64>>,
     handovers: RefCell<BTreeMap<&'static str, u64>>,
+    admissions: RefCell<BTreeMap<(&'static str, u32), u64>>,
+    admission_level: Cell<f64>,
+    load_wait: Cell<Duration>,
+    running_work: Cell<Duration>,
     missing_shards: Cell<u64>,
     backoffs: Cell<u64>,
     open_connections: Cell<usize>,
@@ -71,6 +75,19 @@
         *self.handovers.borrow_mut().entry(end).or_default() += 1;
     }
 
+    /// Counts a decision of the admission by load.
+    pub(super) fn count_admission(&self, decision: &'static str, priority: u32) {
+        *self.admissions.borrow_mut().entry((decision, priority)).or_default() += 1;
+    }
+
+    /// Records the fraction of the work that is admitted, how long new work waits, and the work in
+    /// progress.
+    pub(super) fn record_load(&self, level: f64, wait: Duration, running: Duration) {
+        self.admission_level.set(level);
+        self.load_wait.set(wait);
+        self.running_work.set(running);
+    }
+
     /// Counts a target that asked to be sent nothing for a while.
     pub(super) fn count_backoff(&self) {
         self.backoffs.update(|count| count + 1);
@@ -120,7 +137,31 @@
         for (end, count) in self.handovers.borrow().iter() {
             writeln!(out, "figglade_relay_handovers_total{{end=\"{end}\"}} {count}")?;
         }
+        writeln!(out, "# HELP figglade_relay_admissions_total Decisions on requests by load.")?;
+        writeln!(out, "# TYPE figglade_relay_admissions_total counter")?;
+        for ((decision, priority), count) in self.admissions.borrow().iter() {
+            let labels = format!("decision=\"{decision}\",priority=\"{priority}\"");
+            writeln!(out, "figglade_relay_admissions_total{{{labels}}} {count}")?;
+        }
         let gauges = [
+            (
+                "admission_level_percent",
+                "gauge",
+                "Part of the offered work that is admitted.",
+                (self.admission_level.get() * 100.0).round() as u64,
+            ),
+            (
+                "load_wait_microseconds",
+                "gauge",
+                "Time that new work waits for the thread of the instance.",
+                self.load_wait.get().as_micros() as u64,
+            ),
+            (
+                "running_work_microseconds",
+                "gauge",
+                "Time of the thread that the requests in progress take.",
+                self.running_work.get().as_micros() as u64,
+            ),
             (
                 "missing_shards_total",
                 "counter",
--- a/crates/figgladed/src/relay/mod.rs
+++ b/crates/figgladed/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod link;
 mod metrics;
+mod overload;
 mod pool;
 mod request_log;
 mod search_message;
@@ -27,7 +28,9 @@
     handover::{AggregatorLink, HandoverError, SearchHandover},
     headers::{CallerHead, HeaderNames},
     metrics::RelayMetrics,
+    overload::OverloadControl,
     search_message::{
-        DeclineReason, MergedAnswer, SearchMessage, SearchPlan, SearchReply, SearchRun,
+        DeclineReason, MergedAnswer, ProbeLoad, SearchMessage, SearchPlan, SearchProbe,
+        SearchReply, SearchRun,
     },
 };
--- a/crates/figgladed/src/relay/search_message.rs
+++ b/crates/figgladed/src/relay/search_message.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use figglade::{
     filter::scatter::FailureReason,
-    peer::{CodecError, FrameKind, PeerFrame, decode_payload, encode_compact},
+    peer::{CodecError, FrameKind, PeerFrame, decode_payload, encode_compact, encode_payload},
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,42 @@
     pub digest: u64,
 }
 
+/// A probe of an aggregator.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearchProbe {
+    /// The name of the route.
+    pub route: String,
+    /// The digest of its shards and of how their records are merged.
+    pub digest: u64,
+    /// What the aggregator decides by whether it accepts the search; absent from probes that only keep
+    /// a link connected or check it, and from those of releases without admission by load.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<ProbeLoad>,
+}
+
+/// What a search costs and how urgent it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ProbeLoad {
+    /// The priority of its customer, or else of its route; 0 is the highest.
+    pub priority: u32,
+    /// Whether its customer is far above its usual rate.
+    pub is_above_usual: bool,
+    /// The number of shards that the aggregator is to search.
+    pub shards: u32,
+    /// The time left to the latency goal.
+    pub goal_left: Duration,
+    /// The time left to the deadline.
+    pub deadline_left: Duration,
+}
+
+impl SearchProbe {
+    /// Creates a probe for a search by `plan`.
+    pub fn new(plan: &SearchPlan, load: Option<ProbeLoad>) -> Self {
+        Self { route: plan.route.clone(), digest: plan.digest, load }
+    }
+}
+
 /// A search as it is handed over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearchRun {
@@ -46,7 +82,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SearchMessage {
     /// Asks whether the aggregator would accept a search now; nothing runs yet.
-    Probe(SearchPlan),
+    Probe(SearchProbe),
     /// Hands a search over.
     Run(SearchRun),
 }
@@ -61,6 +97,13 @@
     Busy,
     /// It is stopping.
     Stopping,
+    /// It is busy with work that takes precedence. Sent only in answer to probes with a
+    /// [`ProbeLoad`], because earlier releases cannot decode it.
+    #[display("overloaded")]
+    Overloaded {
+        /// The estimated time until it has room, spread at random.
+        retry_after: Duration,
+    },
 }
 
 /// The merged records of the shards that answered.
@@ -94,7 +137,13 @@
     ///
     /// Fails when the codec refuses a value.
     pub fn to_frame(&self) -> Result<PeerFrame, CodecError> {
-        Ok(PeerFrame { kind: FrameKind::Search, payload: encode_compact(self)? })
+        let payload = match self {
+            // Earlier releases ignore unknown fields that have names, but reject a message that has
+            // more fields than they know and no names.
+            Self::Probe(SearchProbe { load: Some(_), .. }) => encode_payload(self)?,
+            _ => encode_compact(self)?,
+        };
+        Ok(PeerFrame { kind: FrameKind::Search, payload })
     }
 }
 
