--- a/crates/figglade/src/filter/overload/gauge.rs
+++ b/crates/figglade/src/filter/overload/gauge.rs
@@ -4,8 +4,8 @@
 
 use crate::Timestamp;
 
-/// The time between two samples. A standing queue is recognized within [`STANDING_SAMPLES`] of them,
-/// at 20 wake-ups a second.
+/// The time between two samples. At 20 wake-ups a second, a standing queue is recognized within a
+/// quarter of a second.
 pub const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// The number of consecutive late samples that show a standing queue. Single late samples follow from
 /// a freeze of the process, or from one long task.
--- a/crates/figglade/tests/load_admission.rs
+++ b/crates/figglade/tests/load_admission.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use figglade::{
-    CoreShare, RouteSetVersion, Timestamp,
+    CoreShare, CustomerName, RouteSetVersion, Timestamp,
     controller::route_set::{CallerLimits, Destination, RepeatRule, RouteSet, RouteSpec},
     filter::overload::{
         LoadAdmission, LoadChange, LoadDecision, LoadRequest, RefusalReason, SAMPLE_INTERVAL,
@@ -109,6 +109,33 @@
     assert!(admitted[4] < 10 && admitted[4] >= 3, "the floor holds: {admitted:?}");
 }
 
+/// Guards against a customer with few requests that are refused several times in a row, while a large
+/// customer of the same rank is served in between.
+#[test]
+fn a_small_customer_is_not_refused_several_times_in_a_row() {
+    let [large, small] = ["large", "small"].map(|name| name.parse::<CustomerName>().unwrap());
+    let mut trial = Trial::new();
+    trial.count_admitted(&search(1), 1);
+    for _ in 0..6 {
+        trial.sample(LATE);
+    }
+    let (mut served, mut refusals, mut longest) = (0, 0, 0);
+    for number in 0..1_000 {
+        trial.now = trial.now + Duration::from_millis(50);
+        let is_small = number % 37 == 0;
+        let customer = Some(if is_small { &small } else { &large });
+        let is_admitted = trial.count_admitted(&LoadRequest { customer, ..search(1) }, 1) == 1;
+        if is_small {
+            refusals = if is_admitted { 0 } else { refusals + 1 };
+            longest = longest.max(refusals);
+        } else {
+            served += usize::from(is_admitted);
+        }
+    }
+    assert!((200..700).contains(&served), "the large customer is refused in part: {served}");
+    assert!(longest <= 1, "{longest}");
+}
+
 /// Guards against refusals for the sake of a short goal that they cannot restore, because most of the
 /// work takes precedence.
 #[test]
