--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -10,6 +10,7 @@
     },
     filter::{
         access::{AccessDecision, decide_access},
+        caller_network::caller_network_time,
         overload::LoadRank,
         scatter::{FailureReason, ScatterEnd},
     },
@@ -43,9 +44,6 @@
 const STARTUP_RETRY_AFTER_SPREAD: Duration = Duration::from_millis(400);
 /// The longest time that a caller is kept waiting if neither it nor its route sets a limit.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
-/// The network time of a request from the caller and of the answer to it, including a new
-/// connection. The instance can measure neither, so it is subtracted from the latency goal.
-const CALLER_ROUND_TRIP: Duration = Duration::from_millis(14);
 /// How much earlier than its deadline a caller is answered, so that the answer still arrives in
 /// time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(8);
@@ -77,6 +75,8 @@
 struct RequestContext<'a> {
     request_id: Option<&'a Bytes>,
     arrived: Timestamp,
+    /// When a search is answered without the shards that have not answered yet.
+    goal: Timestamp,
     deadline: Timestamp,
     version: Option<RouteSetVersion>,
     route: Option<&'a RouteSpec>,
@@ -89,6 +89,7 @@
         Self {
             request_id,
             arrived,
+            goal: arrived,
             deadline: arrived,
             version: None,
             route: None,
@@ -151,6 +152,9 @@
         context.route = Some(route);
         let wait = caller.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         context.deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
+        let spent = self.edge.profile_of(route).time_spent_before(wait);
+        let network = caller_network_time(route.latency_goal, request.is_first);
+        context.goal = (arrived + route.latency_goal) - spent - network;
         let is_current = self.edge.is_current();
         match decide_access(&table, route, caller.key.as_deref(), is_current) {
             AccessDecision::Granted(customer) => context.customer = customer,
@@ -163,7 +167,7 @@
         if let Some(refusal) = self.refuse_early(route, &context) {
             return self.finish(refusal, &context);
         }
-        let work = match self.admit(route, &context, wait) {
+        let work = match self.admit(route, &context) {
             Ok(AdmittedLoad { rank, work }) => {
                 context.rank = rank;
                 work
@@ -175,7 +179,7 @@
         };
         let _active = ActiveCount::start(&self.active);
         let _work = self.edge.overload.start_work(work);
-        let end = self.serve(request, route, &table, &context, wait).await;
+        let end = self.serve(request, route, &table, &context).await;
         self.finish(end, &context)
     }
 
@@ -193,7 +197,6 @@
         &self,
         route: &RouteSpec,
         context: &RequestContext<'_>,
-        wait: Duration,
     ) -> Result<AdmittedLoad, LoadRefusal> {
         let priority = context.priority();
         let is_by_load = self.edge.overload.is_in_force();
@@ -212,12 +215,10 @@
             });
         }
         let now = self.edge.clock.now();
-        let spent = self.edge.profile_of(route).time_spent_before(wait);
-        let goal = context.arrived + route.latency_goal - spent - CALLER_ROUND_TRIP;
         let claim = LoadClaim {
             priority,
             customer: context.customer.map(|customer| &customer.name),
-            goal_left: goal.since(now),
+            goal_left: context.goal.since(now),
             deadline_left: context.deadline.since(now),
         };
         self.edge.admit_by_load(route, &claim)
@@ -230,7 +231,6 @@
         route: &RouteSpec,
         table: &RouteTable,
         context: &RequestContext<'_>,
-        wait: Duration,
     ) -> RequestEnd {
         let customer = if table.has_customers() {
             CustomerHeader::Replaced(context.customer.map(|customer| &customer.name))
@@ -238,14 +238,13 @@
             CustomerHeader::Forwarded
         };
         let arrived = context.arrived;
-        let spent = self.edge.profile_of(route).time_spent_before(wait);
         let order = ForwardOrder {
             head: write_head(&request, &self.edge.names, customer),
             body: request.body,
             is_head: &request.head.method[..] == b"HEAD",
             request_id: context.request_id.cloned(),
             arrived,
-            goal: (arrived + route.latency_goal) - spent - CALLER_ROUND_TRIP,
+            goal: context.goal,
             deadline: self.edge.limit_deadline(context.deadline),
             rank: context.rank,
         };
