Decide how tokens of a quota pass from the leader to instances

Cause: customers have quotas in the route set, and nothing enforces them. A count at each instance bounds nothing over 84 instances, and a single counter answers nobody during an election.

Change: `controller::quota` divides a quota between a granter at the leader of the control group and a reserve at each hub (`QuotaPlan`), decides who may grant (`GrantAuthority`), grants (`QuotaGranter`), holds reserves (`QuotaReserve`), and caches refusals at an instance (`RefusalCache`). `HubChooser::choose_for_call` names the hub to ask.

--- a/crates/figglade/src/controller/hub_chooser.rs
+++ b/crates/figglade/src/controller/hub_chooser.rs
@@ -1,6 +1,6 @@
 //! Chooses the control instance (hub) from which an instance receives targets and route sets.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -99,6 +99,19 @@
         self.preferred.or(self.current)
     }
 
+    /// Returns the hub to call: the followed one, or another one if `is_avoided` holds for it. Local
+    /// hubs come first, then those heard last.
+    pub fn choose_for_call(&self, is_avoided: impl Fn(&SocketAddr) -> bool) -> Option<SocketAddr> {
+        if let Some(followed) = self.followed().filter(|hub| !is_avoided(hub)) {
+            return Some(followed);
+        }
+        let others = self.hubs.iter().filter(|(address, _)| !is_avoided(address));
+        let best = others.min_by_key(|(address, held)| {
+            (!self.is_local(address), Reverse(held.last_contact), **address)
+        });
+        best.map(|(address, _)| *address)
+    }
+
     /// Returns whether the followed hub has proven within the last polls that it is current.
     pub fn is_current(&self, now: Timestamp) -> bool {
         let held = self.current.and_then(|current| self.hubs.get(&current));
--- a/crates/figglade/src/controller/mod.rs
+++ b/crates/figglade/src/controller/mod.rs
@@ -10,6 +10,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod quorum;
+pub mod quota;
 pub mod route_set;
 pub mod service_directory;
 pub mod share;
