Enforce the quotas of customers through the hubs

Cause: the library decides on quotas, but no process asks it. Hubs do not decode route sets, so that none knows a quota.

Change: `hub::HubQuota` holds the reserves, confirms the authority of the granter and answers `FrameKind::Quota`; `relay::QuotaClient` takes a token for each request under a quota and returns it if no target got the request. Excess requests get 429 and `Retry-After`; 503 if no hub can tell. `rustix`, already in the lock file, reads the clock with suspended time.

--- a/crates/figglade/src/peer.rs
+++ b/crates/figglade/src/peer.rs
@@ -25,6 +25,8 @@
     Registry = 6,
     /// A search that one instance runs on behalf of another.
     Search = 7,
+    /// A request for tokens of a customer's quota.
+    Quota = 8,
 }
 
 impl FrameKind {
@@ -39,6 +41,7 @@
             5 => Some(Self::Events),
             6 => Some(Self::Registry),
             7 => Some(Self::Search),
+            8 => Some(Self::Quota),
             _ => None,
         }
     }
--- a/crates/figgladed/src/clock.rs
+++ b/crates/figgladed/src/clock.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use figglade::{Timestamp, WallTime};
+use rustix::time::{ClockId, clock_gettime};
 
 /// The latest instant to sleep until, a century after the start; later timestamps are reduced to it.
 const MAX_SLEEP: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
@@ -36,3 +37,11 @@
         tokio::time::Instant::from_std(self.origin + offset)
     }
 }
+
+/// Returns the time since the start of the machine, including the time during which it was suspended.
+/// Rights that end by themselves use it.
+pub fn boot_time() -> Timestamp {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither part is negative for this clock.
+    Timestamp::from_micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+}
--- a/crates/figgladed/src/control/handler.rs
+++ b/crates/figgladed/src/control/handler.rs
@@ -36,7 +36,11 @@
             FrameKind::Membership => parts.gossip.handle_membership(from.address, &frame.payload),
             FrameKind::Directory => parts.gossip.handle_directory(from.address, &frame.payload),
             FrameKind::Quorum => parts.handle_quorum(from, &frame),
-            FrameKind::Control | FrameKind::Events | FrameKind::Registry | FrameKind::Search => {}
+            FrameKind::Control
+            | FrameKind::Events
+            | FrameKind::Registry
+            | FrameKind::Search
+            | FrameKind::Quota => {}
         }
     }
 
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -69,6 +69,11 @@
         self.chooser.borrow_mut().update_hubs(hubs);
     }
 
+    /// Returns the hub to call: the followed one, or another one if `is_avoided` holds for it.
+    pub fn choose_for_call(&self, is_avoided: impl Fn(&SocketAddr) -> bool) -> Option<SocketAddr> {
+        self.chooser.borrow().choose_for_call(is_avoided)
+    }
+
     /// Polls the followed hub and handles messages until the process ends.
     pub async fn run(self: Rc<Self>, mut inputs: mpsc::Receiver<HubInput>) {
         let mut next_poll = Instant::now();
--- a/crates/figgladed/src/hub/frames.rs
+++ b/crates/figgladed/src/hub/frames.rs
@@ -9,7 +9,7 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use super::message::HubMessage;
+use super::{message::HubMessage, quota::QuotaInput};
 use crate::{
     control::{ControlRequest, MemberHandle, MemberInput, ask_member},
     peer_link::{CallRefusal, PeerHandler, PeerSender},
@@ -34,6 +34,8 @@
     member: Arc<OnceLock<MemberHandle>>,
     /// Receives searches; `None` if the process does not scatter searches for other instances.
     searches: Option<mpsc::Sender<SearchInput>>,
+    /// Receives messages about quotas; `None` if the process is not a hub.
+    quotas: Option<mpsc::Sender<QuotaInput>>,
 }
 
 impl HubHandler {
@@ -43,7 +45,12 @@
         member: Arc<OnceLock<MemberHandle>>,
         searches: Option<mpsc::Sender<SearchInput>>,
     ) -> Self {
-        Self { inputs, member, searches }
+        Self { inputs, member, searches, quotas: None }
+    }
+
+    /// Passes messages about quotas to `quotas`.
+    pub fn with_quotas(self, quotas: mpsc::Sender<QuotaInput>) -> Self {
+        Self { quotas: Some(quotas), ..self }
     }
 
     fn handle_quorum_frame(&self, from: PeerSender, frame: &PeerFrame) {
@@ -66,6 +73,14 @@
                     let _ = self.inputs.try_send(HubInput { from, message, handled: None });
                 }
             }
+            FrameKind::Quota => {
+                if let Some(quotas) = &self.quotas
+                    && let Ok(message) = decode_payload(&frame.payload)
+                {
+                    // Returned tokens are lost if the queue is full.
+                    let _ = quotas.try_send(QuotaInput { from, message, reply: None });
+                }
+            }
             FrameKind::Membership
             | FrameKind::Directory
             | FrameKind::Control
@@ -82,11 +97,13 @@
         let inputs = self.inputs.clone();
         let member = self.member.get().cloned();
         let searches = self.searches.clone();
+        let quotas = self.quotas.clone();
         Box::pin(async move {
             match frame.kind {
                 FrameKind::Control => handle_control_call(member, &frame).await,
                 FrameKind::Registry => handle_registry_call(&inputs, from, &frame).await,
                 FrameKind::Search => handle_search_call(searches, from, &frame).await,
+                FrameKind::Quota => handle_quota_call(quotas, from, &frame).await,
                 _ => Err(CallRefusal::UnknownKind),
             }
         })
@@ -132,6 +149,20 @@
     answer.to_frame().map_err(refuse)
 }
 
+async fn handle_quota_call(
+    quotas: Option<mpsc::Sender<QuotaInput>>,
+    from: PeerSender,
+    frame: &PeerFrame,
+) -> Result<PeerFrame, CallRefusal> {
+    let quotas = quotas.ok_or(CallRefusal::UnknownKind)?;
+    let message = decode_payload(&frame.payload).map_err(refuse)?;
+    let (reply, answer) = oneshot::channel();
+    let input = QuotaInput { from, message, reply: Some(reply) };
+    quotas.try_send(input).map_err(|_| CallRefusal::Busy)?;
+    let answer = answer.await.map_err(|_| refuse("the process is stopping"))?;
+    answer.to_frame().map_err(refuse)
+}
+
 fn refuse(reason: impl ToString) -> CallRefusal {
     CallRefusal::Refused { reason: reason.to_string() }
 }
--- a/crates/figgladed/src/hub/mod.rs
+++ b/crates/figgladed/src/hub/mod.rs
@@ -11,6 +11,8 @@
 mod message;
 mod node;
 mod peers;
+mod quota;
+mod quota_message;
 mod start;
 mod target_store;
 
@@ -19,6 +21,8 @@
     frames::{HubHandler, HubInput},
     message::{HubGreeting, HubMessage, HubStatus, SubscribeRequest},
     node::{HubError, HubNode, HubParts},
+    quota::{HubQuota, QuotaInput, QuotaParts},
+    quota_message::{QuotaMessage, QuotaReply, TakeRequest, TokenReturn},
     start::{MemberOptions, start_member},
     target_store::{TargetStore, TargetStoreError},
 };
--- a/crates/figgladed/src/peer_link/table.rs
+++ b/crates/figgladed/src/peer_link/table.rs
@@ -43,7 +43,8 @@
             | FrameKind::Quorum
             | FrameKind::Control
             | FrameKind::Registry
-            | FrameKind::Search => Self::Urgent,
+            | FrameKind::Search
+            | FrameKind::Quota => Self::Urgent,
             FrameKind::Directory | FrameKind::Events => Self::Bulk,
         }
     }
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -32,8 +32,8 @@
     hub::{HubFollower, HubHandler},
     peer_link::{PeerLimits, PeerOptions, PeerTransport},
     relay::{
-        AggregatorService, EdgeState, HeaderNames, ReadyHandler, RelayHandler, RelayMetrics,
-        SearchHandover,
+        AggregatorService, EdgeState, HeaderNames, QuotaClient, ReadyHandler, RelayHandler,
+        RelayMetrics, SearchHandover,
     },
 };
 
@@ -101,7 +101,14 @@
     spawn_local(maintain(Rc::clone(&edge), Rc::clone(&handover)));
     let aggregator = Rc::new(AggregatorService::new(Rc::clone(&edge), Rc::clone(&handover)));
     spawn_local(Rc::clone(&aggregator).run(received_searches));
-    serve(callers, Rc::new(RelayHandler::new(Rc::clone(&edge), handover)), &switch, &log);
+    let quota_follower = Rc::clone(&follower);
+    let quota = Rc::new(QuotaClient::new(
+        Rc::clone(&edge),
+        Rc::new(transport.handle()),
+        Box::new(move |is_avoided| quota_follower.choose_for_call(is_avoided)),
+    ));
+    let relay = RelayHandler::new(Rc::clone(&edge), handover, quota);
+    serve(callers, Rc::new(relay), &switch, &log);
     let probe_switch = Rc::new(ShutdownSignal::default());
     serve(readiness, Rc::new(ReadyHandler::new(Rc::clone(&edge))), &probe_switch, &log);
     if let Some(address) = settings.metrics {
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use figglade::controller::route_set::RouteCodec;
 use slog::{Logger, error, info};
 use tokio::{
     sync::{Notify, mpsc},
@@ -24,7 +25,10 @@
     clock::ProcessClock,
     control::{ControlGroupClient, ControlMember, MemberHandle},
     http1::{HttpHandler, ServerPhase, ShutdownSignal},
-    hub::{HubHandler, HubNode, HubParts, MemberOptions, TargetStore, start_member},
+    hub::{
+        HubHandler, HubNode, HubParts, HubQuota, MemberOptions, QuotaParts, TargetStore,
+        start_member,
+    },
     peer_link::{PeerHandle, PeerTransport},
 };
 
@@ -43,6 +47,8 @@
     pub settings: ProcessSettings,
     /// Reads the settings again when they may have changed.
     pub reader: Box<dyn SettingsReader>,
+    /// Decodes the route documents of operators.
+    pub codec: Box<dyn RouteCodec>,
     /// Builds the handler for the calls of targets and operators.
     pub admin: AdminFactory,
     /// The log of the process.
@@ -55,7 +61,7 @@
 ///
 /// Fails when it cannot start.
 pub async fn run_hub(process: HubProcess) -> Result<(), ProcessError> {
-    let HubProcess { settings, reader, admin, log } = process;
+    let HubProcess { settings, reader, codec, admin, log } = process;
     // The signal handlers come first: without them, a reload signal (SIGHUP) ends the process.
     let mut watch = ProcessWatch::start(settings.clone(), log.clone())?;
     let clock = ProcessClock::start();
@@ -65,7 +71,8 @@
     let listener = listen(admin_address).await?;
     let (inputs, received) = mpsc::channel(MAX_QUEUED_INPUTS);
     let member = Arc::new(OnceLock::new());
-    let handler = HubHandler::new(inputs, Arc::clone(&member), None);
+    let (quotas, received_quotas) = mpsc::channel(MAX_QUEUED_INPUTS);
+    let handler = HubHandler::new(inputs, Arc::clone(&member), None).with_quotas(quotas);
     let transport = start_links(&settings, handler, clock, &log).await?;
     let own = settings.data.is_some().then(|| Arc::clone(&member));
     let group = ControlGroupClient::with_late_member(
@@ -91,12 +98,26 @@
         log: log.clone(),
     }));
     node.update_seeds(&settings.seeds);
+    let parts = QuotaParts {
+        id: settings.id.clone(),
+        peer: settings.peer,
+        run: rand::random::<u64>(),
+        rules: settings.quota,
+        codec,
+        link: transport.handle(),
+        member: Arc::clone(&member),
+        log: log.clone(),
+    };
+    let quota = Rc::new(HubQuota::new(parts, Rc::clone(&node)));
+    spawn_local(Rc::clone(&quota).run(received_quotas));
+    spawn_local(Rc::clone(&quota).confirm_authority());
     let switch = Rc::new(ShutdownSignal::default());
     spawn_local(Rc::clone(&node).run(received));
     serve(listener, admin(Rc::clone(&node), log.clone()), &switch, &log);
     if let Some(address) = settings.metrics {
         let metrics_node = Rc::clone(&node);
-        serve_metrics(address, move || metrics_node.render_metrics(), &log).await;
+        let render = move || metrics_node.render_metrics() + &quota.render_metrics();
+        serve_metrics(address, render, &log).await;
     }
     let routes_changed = Arc::new(Notify::new());
     spawn_local(broadcast_routes(Rc::clone(&node), Arc::clone(&routes_changed)));
--- a/crates/figgladed/src/process/settings.rs
+++ b/crates/figgladed/src/process/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use figglade::{InstanceId, ZoneName};
+use figglade::{InstanceId, ZoneName, controller::quota::QuotaRules};
 
 use super::error::ProcessError;
 use crate::relay::EdgeRules;
@@ -47,6 +47,8 @@
     pub stop_grace: Duration,
     /// The rules of the data path.
     pub edge: EdgeRules,
+    /// The rules for the quotas of customers.
+    pub quota: QuotaRules,
 }
 
 /// Reads the settings; called again whenever they may have changed.
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -203,6 +203,8 @@
         self.profiles.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.balances.borrow_mut().clear();
         self.coverages.borrow_mut().clear();
+        let customers: HashSet<_> = set.customers.iter().flatten().map(|held| &held.name).collect();
+        self.metrics.retain_quotas(|customer| customers.contains(customer));
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(Arc::new(set))));
         self.remove_moved_replicas();
         self.refresh_limits();
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -20,6 +20,7 @@
     edge::EdgeState,
     forward::{CustomerHeader, ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
+    quota::{QuotaClient, QuotaDecision},
     request_log::{AttemptRecord, RequestRecord},
     search_message::MergedAnswer,
 };
@@ -39,6 +40,8 @@
 const MIN_STARTUP_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The time over which these retries are spread at random.
 const STARTUP_RETRY_AFTER_SPREAD: Duration = Duration::from_millis(400);
+/// The minimum time after which a caller over its quota is asked to retry.
+const MIN_QUOTA_RETRY_AFTER: Duration = Duration::from_millis(1);
 /// The longest time that a caller is kept waiting if neither it nor its route sets a limit.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// The network time of a request from the caller and of the answer to it, including a new
@@ -52,6 +55,7 @@
 pub struct RelayHandler {
     edge: Rc<EdgeState>,
     handover: Rc<SearchHandover>,
+    quota: Rc<QuotaClient>,
     active: Cell<usize>,
 }
 
@@ -115,12 +119,23 @@
             handover: String::new(),
         }
     }
+
+    /// Returns whether the request was certainly sent to no target.
+    fn is_unsent(&self) -> bool {
+        matches!(self.outcome, "not_run" | "no_open_target")
+            && self.attempts.is_empty()
+            && self.handover.is_empty()
+    }
 }
 
 impl RelayHandler {
     /// Builds the handler.
-    pub const fn new(edge: Rc<EdgeState>, handover: Rc<SearchHandover>) -> Self {
-        Self { edge, handover, active: Cell::new(0) }
+    pub const fn new(
+        edge: Rc<EdgeState>,
+        handover: Rc<SearchHandover>,
+        quota: Rc<QuotaClient>,
+    ) -> Self {
+        Self { edge, handover, quota, active: Cell::new(0) }
     }
 
     async fn answer(&self, request: HttpRequest) -> HttpResponse {
@@ -153,7 +168,25 @@
             return self.finish(refusal, &context);
         }
         let _active = ActiveCount::start(&self.active);
-        let end = self.serve(request, route, &table, &context, wait).await;
+        let limited = context.customer.filter(|held| held.quota.is_some() && !route.is_public);
+        let Some(customer) = limited else {
+            let end = self.serve(request, route, &table, &context, wait).await;
+            return self.finish(end, &context);
+        };
+        let end = match self.quota.take(&customer.name, table.set().version).await {
+            QuotaDecision::Admit(token) => {
+                let end = self.serve(request, route, &table, &context, wait).await;
+                if let Some(token) = token.filter(|_| end.is_unsent()) {
+                    self.quota.give_back(&customer.name, token);
+                }
+                end
+            }
+            QuotaDecision::Exhausted(wait) => refuse_over_quota(wait),
+            QuotaDecision::Unavailable => {
+                let response = self.refuse("no hub answered for the quota of the customer");
+                RequestEnd::plain(response, "no_quota_answer")
+            }
+        };
         self.finish(end, &context)
     }
 
@@ -354,6 +387,13 @@
     RequestEnd::plain(response, "key_denied")
 }
 
+/// Refuses a request of a customer whose quota is used up for `wait`.
+fn refuse_over_quota(wait: Duration) -> RequestEnd {
+    let response = HttpResponse::text(429, "the quota of the customer is used up");
+    let seconds = format!("{:.3}", wait.max(MIN_QUOTA_RETRY_AFTER).as_secs_f64());
+    RequestEnd::plain(response.with(text_field("retry-after", seconds)), "over_quota")
+}
+
 impl HttpHandler for RelayHandler {
     fn handle(&self, request: HttpRequest) -> LocalFuture<'_, HttpResponse> {
         Box::pin(self.answer(request))
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use figglade::filter::scatter::{AttemptEnd, AttemptKind};
+use figglade::{
+    CustomerName,
+    controller::quota::QuotaTally,
+    filter::scatter::{AttemptEnd, AttemptKind},
+};
 
 /// The upper bounds of the latency histogram, in milliseconds.
 const LATENCY_BOUNDS_MS: [u64; 12] = [5, 10, 20, 40, 60, 80, 120, 150, 250, 500, 1_000, 3_000];
@@ -38,6 +42,7 @@
     attempts: RefCell<BTreeMap<String, u64>>,
     ends: RefCell<BTreeMap<String, u64>>,
     handovers: RefCell<BTreeMap<&'static str, u64>>,
+    quotas: RefCell<QuotaTally>,
     missing_shards: Cell<u64>,
     backoffs: Cell<u64>,
     open_connections: Cell<usize>,
@@ -71,6 +76,22 @@
         *self.handovers.borrow_mut().entry(end).or_default() += 1;
     }
 
+    /// Counts a request that used a token of its customer's quota, or was refused for want of one.
+    pub(super) fn count_quota(&self, customer: &CustomerName, is_spent: bool) {
+        let mut quotas = self.quotas.borrow_mut();
+        let tally = quotas.entry(customer);
+        if is_spent {
+            tally.spent += 1;
+        } else {
+            tally.refused += 1;
+        }
+    }
+
+    /// Forgets the counts of customers without a quota.
+    pub(super) fn retain_quotas(&self, is_kept: impl Fn(&CustomerName) -> bool) {
+        self.quotas.borrow_mut().retain(is_kept);
+    }
+
     /// Counts a target that asked to be sent nothing for a while.
     pub(super) fn count_backoff(&self) {
         self.backoffs.update(|count| count + 1);
@@ -120,6 +141,18 @@
         for (end, count) in self.handovers.borrow().iter() {
             writeln!(out, "figglade_relay_handovers_total{{end=\"{end}\"}} {count}")?;
         }
+        writeln!(
+            out,
+            "# HELP figglade_relay_quota_requests_total Requests under the quotas of the largest \
+             customers."
+        )?;
+        writeln!(out, "# TYPE figglade_relay_quota_requests_total counter")?;
+        for (customer, tally) in self.quotas.borrow().report() {
+            for (end, count) in [("spent", tally.spent), ("refused", tally.refused)] {
+                let name = "figglade_relay_quota_requests_total";
+                writeln!(out, "{name}{{customer=\"{customer}\",end=\"{end}\"}} {count}")?;
+            }
+        }
         let gauges = [
             (
                 "missing_shards_total",
--- a/crates/figgladed/src/relay/mod.rs
+++ b/crates/figgladed/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod link;
 mod metrics;
 mod pool;
+mod quota;
 mod request_log;
 mod search_message;
 
@@ -27,6 +28,7 @@
     handover::{AggregatorLink, HandoverError, SearchHandover},
     headers::{CallerHead, HeaderNames},
     metrics::RelayMetrics,
+    quota::{HubChoice, QuotaClient},
     search_message::{
         DeclineReason, MergedAnswer, SearchMessage, SearchPlan, SearchReply, SearchRun,
     },
