--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -1,5 +1,6 @@
 //! The state and the periodic tasks of a hub.
 
+mod hubs;
 mod inputs;
 mod replication;
 
@@ -548,7 +549,7 @@
     }
 
     /// Returns the newest route set known to be committed.
-    fn routes(&self) -> Option<Arc<RouteDocument>> {
+    pub(in crate::hub) fn routes(&self) -> Option<Arc<RouteDocument>> {
         let own = self.parts.member.get().and_then(|member| member.view().routes);
         let Ok(state) = self.state.try_borrow() else { return own };
         let received = state.received_routes.clone();
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use figglade::filter::scatter::{AttemptEnd, AttemptKind};
+use figglade::{
+    CustomerName,
+    controller::quota::QuotaTally,
+    filter::scatter::{AttemptEnd, AttemptKind},
+};
 
 /// The upper bounds of the latency histogram, in milliseconds.
 const LATENCY_BOUNDS_MS: [u64; 12] = [5, 10, 20, 40, 60, 80, 120, 150, 250, 500, 1_000, 3_000];
@@ -42,6 +46,7 @@
     admission_level: Cell<f64>,
     load_wait: Cell<Duration>,
     running_work: Cell<Duration>,
+    quotas: RefCell<QuotaTally>,
     missing_shards: Cell<u64>,
     backoffs: Cell<u64>,
     open_connections: Cell<usize>,
@@ -88,6 +93,22 @@
         self.running_work.set(running);
     }
 
+    /// Counts a request that used a token of its customer's quota, or was refused for want of one.
+    pub(super) fn count_quota(&self, customer: &CustomerName, is_spent: bool) {
+        let mut quotas = self.quotas.borrow_mut();
+        let tally = quotas.entry(customer);
+        if is_spent {
+            tally.spent += 1;
+        } else {
+            tally.refused += 1;
+        }
+    }
+
+    /// Forgets the counts of customers without a quota.
+    pub(super) fn retain_quotas(&self, is_kept: impl Fn(&CustomerName) -> bool) {
+        self.quotas.borrow_mut().retain(is_kept);
+    }
+
     /// Counts a target that asked to be sent nothing for a while.
     pub(super) fn count_backoff(&self) {
         self.backoffs.update(|count| count + 1);
@@ -143,6 +164,18 @@
             let labels = format!("decision=\"{decision}\",priority=\"{priority}\"");
             writeln!(out, "figglade_relay_admissions_total{{{labels}}} {count}")?;
         }
+        writeln!(
+            out,
+            "# HELP figglade_relay_quota_requests_total Requests under the quotas of the largest \
+             customers."
+        )?;
+        writeln!(out, "# TYPE figglade_relay_quota_requests_total counter")?;
+        for (customer, tally) in self.quotas.borrow().report() {
+            for (end, count) in [("spent", tally.spent), ("refused", tally.refused)] {
+                let name = "figglade_relay_quota_requests_total";
+                writeln!(out, "{name}{{customer=\"{customer}\",end=\"{end}\"}} {count}")?;
+            }
+        }
         let gauges = [
             (
                 "admission_level_percent",
--- a/crates/figgladed/src/relay/mod.rs
+++ b/crates/figgladed/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod overload;
 mod pool;
+mod quota;
 mod request_log;
 mod search_message;
 
@@ -29,6 +30,7 @@
     headers::{CallerHead, HeaderNames},
     metrics::RelayMetrics,
     overload::OverloadControl,
+    quota::{HubChoice, QuotaClient},
     search_message::{
         DeclineReason, MergedAnswer, ProbeLoad, SearchMessage, SearchPlan, SearchProbe,
         SearchReply, SearchRun,
