Bound what a process holds for its callers, and end what makes the least progress

Cause: an edge and a hub held every request that a client left incomplete, every chunk twice, and every response that was not read; they reserved the declared length of a body ahead of its bytes, and took any number of connections. 300 clients exceeded the memory of the settings, 900 idle ones the descriptors.

Change: `filter::intake` holds the accounts of a process and decides which connection gives way; `http1::server` records what each connection holds and ends those that give way, with 408, 503 or a close. One bound, an eighth of the memory, covers heads, bodies, read-ahead, requests that are served and responses that are not taken; half of the descriptors are left for targets, peers and files. `limits.maxFds` is read from the settings. Chunks are decoded as they arrive, responses are sent without a copy of their body, and a large answer does not keep its buffer with the connection to the target.

--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -6,6 +6,7 @@
 pub mod answer_buffers;
 pub mod budget;
 pub mod fanout;
+pub mod intake;
 pub mod latency;
 pub mod load;
 pub mod merge;
--- a/crates/figglade/src/ids.rs
+++ b/crates/figglade/src/ids.rs
@@ -167,6 +167,10 @@
     /// An amount of memory, in bytes.
     MemorySize, u64
 }
+number_id! {
+    /// A number of file descriptors that a process may have open.
+    FileLimit, u32
+}
 number_id! {
     /// Identifies one attempt: the transmission of one request to one target.
     AttemptId, u128
--- a/crates/figgladed/src/http1/body.rs
+++ b/crates/figgladed/src/http1/body.rs
@@ -82,8 +82,10 @@
     Length(usize),
     /// Waits for a chunk size line.
     ChunkSize,
-    /// Waits for the data of a chunk and the CR LF after it.
+    /// Waits for this many further bytes of the data of a chunk.
     ChunkData(usize),
+    /// Waits for the CR LF after the data of a chunk.
+    ChunkEnd,
     /// Waits for the empty line after the trailers; holds the length of those read.
     Trailers(usize),
     /// Reads up to the close of the connection.
@@ -126,8 +128,8 @@
         loop {
             match self.state {
                 ReaderState::Length(length) => {
+                    // No memory is reserved for bytes that have not arrived.
                     if buffer.len() < length {
-                        buffer.reserve(length - buffer.len());
                         return Ok(false);
                     }
                     self.complete_body = buffer.split_to(length).freeze();
@@ -144,14 +146,23 @@
                     };
                 }
                 ReaderState::ChunkData(size) => {
-                    if buffer.len() < size + 2 {
+                    let arrived = buffer.len().min(size);
+                    self.body.extend_from_slice(&buffer[..arrived]);
+                    buffer.advance(arrived);
+                    if arrived < size {
+                        self.state = ReaderState::ChunkData(size - arrived);
                         return Ok(false);
                     }
-                    self.body.extend_from_slice(&buffer[..size]);
-                    if &buffer[size..size + 2] != b"\r\n" {
+                    self.state = ReaderState::ChunkEnd;
+                }
+                ReaderState::ChunkEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(false);
+                    }
+                    if &buffer[..2] != b"\r\n" {
                         return Err(HttpError::BadChunk);
                     }
-                    buffer.advance(size + 2);
+                    buffer.advance(2);
                     self.state = ReaderState::ChunkSize;
                 }
                 ReaderState::Trailers(length) => {
--- a/crates/figgladed/src/http1/error.rs
+++ b/crates/figgladed/src/http1/error.rs
@@ -26,6 +26,12 @@
     /// The body was not received in time.
     #[display("the body did not come in time")]
     BodyTimedOut,
+    /// The request gave way to others, as the memory for callers was used up.
+    #[display("the request made too little progress while memory was short")]
+    GivenUp,
+    /// There is no memory for the request.
+    #[display("there is no memory for the request now")]
+    NoRoom,
     /// The connection closed before the end of the message.
     #[display("the connection ended within the message")]
     Truncated,
@@ -37,7 +43,8 @@
         match self {
             Self::BadHead | Self::BadFraming | Self::BadChunk | Self::Truncated => 400,
             Self::HeadTooLarge => 431,
-            Self::HeadTimedOut | Self::BodyTimedOut => 408,
+            Self::HeadTimedOut | Self::BodyTimedOut | Self::GivenUp => 408,
+            Self::NoRoom => 503,
             Self::BodyTooLarge => 413,
         }
     }
--- a/crates/figgladed/src/http1/message.rs
+++ b/crates/figgladed/src/http1/message.rs
@@ -1,6 +1,6 @@
 //! Complete requests and responses.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut, buf::Chain};
 
 use super::head::{HeaderField, RequestHead};
 
@@ -55,11 +55,11 @@
         self
     }
 
-    /// Encodes the response, without its body when it answers a `HEAD` request.
-    pub(super) fn encode(&self, is_to_head: bool, is_last: bool) -> BytesMut {
+    /// Encodes the response, without its body when it answers a `HEAD` request. The body is not copied.
+    pub(super) fn encode(self, is_to_head: bool, is_last: bool) -> Chain<BytesMut, Bytes> {
         let fields: usize =
             self.headers.iter().map(|field| field.name.len() + field.value.len() + 4).sum();
-        let mut out = BytesMut::with_capacity(96 + fields + self.body.len());
+        let mut out = BytesMut::with_capacity(96 + fields);
         out.put_slice(b"HTTP/1.1 ");
         out.put_slice(self.status.to_string().as_bytes());
         out.put_u8(b' ');
@@ -75,10 +75,7 @@
             put_field(&mut out, b"connection", b"close");
         }
         out.put_slice(b"\r\n");
-        if !is_to_head {
-            out.put_slice(&self.body);
-        }
-        out
+        out.chain(if is_to_head { Bytes::new() } else { self.body })
     }
 }
 
--- a/crates/figgladed/src/http1/mod.rs
+++ b/crates/figgladed/src/http1/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod error;
 mod head;
+mod intake;
 mod message;
 mod read;
 mod server;
@@ -16,6 +17,7 @@
     body::{BodyFraming, BodyReader, frame_request, frame_response},
     error::HttpError,
     head::{HeaderField, HeaderList, RequestHead, ResponseHead, is_hop_by_hop_header},
+    intake::IntakeControl,
     message::{HttpRequest, HttpResponse, text_field},
     server::{HttpHandler, HttpServer, LocalFuture, ServerPhase, ShutdownSignal},
 };
--- a/crates/figgladed/src/http1/server.rs
+++ b/crates/figgladed/src/http1/server.rs
@@ -1,15 +1,18 @@
 //! An HTTP server that handles its connections on the thread it runs on.
 
-use std::{cell::Cell, future::Future, io, pin::Pin, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, io, io::IoSlice, pin::Pin, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use figglade::controller::route_set::CallerLimits;
+use bytes::{Buf, Bytes, BytesMut};
+use figglade::{
+    controller::route_set::CallerLimits,
+    filter::intake::{IntakeStage, response_bytes, served_bytes},
+};
 use slog::{Logger, debug, warn};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::Notify,
-    task::spawn_local,
+    task::{spawn_local, yield_now},
     time::{Instant, sleep, timeout, timeout_at},
 };
 
@@ -17,12 +20,16 @@
     body::{BodyReader, frame_request},
     error::HttpError,
     head::RequestHead,
-    message::{HttpRequest, HttpResponse},
+    intake::{ConnectionIntake, IntakeControl},
+    message::{HttpRequest, HttpResponse, text_field},
     read::read_available,
 };
 
 /// The buffer capacity reserved for a read, in bytes.
 const READ_BYTES: usize = 4_096;
+/// The maximum number of bytes of one read. The bound on what is held for callers is checked after each
+/// read, so that this is the most by which each connection exceeds it.
+const MAX_READ_BYTES: usize = 16 << 10;
 /// The maximum number of bytes read ahead while a request is handled.
 const MAX_READ_AHEAD: usize = 64 << 10;
 /// The time limit for writing a response.
@@ -32,6 +39,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The time limit for receiving the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time after which a caller whose request finds no memory is asked to retry, in seconds. By then
+/// the connections that take the memory have given way or timed out.
+const NO_ROOM_RETRY_AFTER: &str = "1";
 /// The time after which every connection has observed a change of the phase.
 const PHASE_CHANGE_DELAY: Duration = Duration::from_millis(50);
 /// The delay after a failed accept, for example when no file descriptor is free.
@@ -153,6 +163,8 @@
     pub listener: TcpListener,
     /// The handler of the requests.
     pub handler: Rc<dyn HttpHandler>,
+    /// The accounts of what is held for callers.
+    pub intake: Rc<IntakeControl>,
     /// The shutdown signal.
     pub switch: Rc<ShutdownSignal>,
     /// The log of the process.
@@ -164,7 +176,12 @@
     pub async fn run(self) {
         loop {
             match self.listener.accept().await {
-                Ok((stream, _)) => self.serve(stream),
+                Ok((stream, _)) => {
+                    if self.serve(stream) {
+                        // Lets the connection that gives way close before the next one is accepted.
+                        yield_now().await;
+                    }
+                }
                 Err(error) => {
                     warn!(self.log, "http: accept failed"; "error" => %error);
                     sleep(ACCEPT_RETRY_DELAY).await;
@@ -173,7 +190,12 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    /// Serves a connection, and returns whether another one must close for it.
+    fn serve(&self, stream: TcpStream) -> bool {
+        let Some((intake, closes_another)) = self.intake.open() else {
+            // All others are being served; the caller sees a closed connection.
+            return false;
+        };
         if let Err(error) = stream.set_nodelay(true) {
             debug!(self.log, "http: cannot set TCP_NODELAY on a connection"; "error" => %error);
         }
@@ -182,14 +204,17 @@
             buffer: BytesMut::new(),
             handler: Rc::clone(&self.handler),
             switch: Rc::clone(&self.switch),
+            intake,
         };
         spawn_local(connection.run());
+        closes_another
     }
 }
 
 /// The result of reading a request head.
 enum HeadRead {
-    Head(RequestHead),
+    /// The head and its size in bytes.
+    Head(RequestHead, usize),
     Closed,
 }
 
@@ -198,6 +223,7 @@
     buffer: BytesMut,
     handler: Rc<dyn HttpHandler>,
     switch: Rc<ShutdownSignal>,
+    intake: ConnectionIntake,
 }
 
 impl ServerConnection {
@@ -208,8 +234,17 @@
                 Ok(true) => {}
                 Ok(false) => return,
                 Err(error) => {
-                    let response = HttpResponse::text(error.status(), error.to_string());
-                    if self.write(&response, false, true).await.is_ok() {
+                    self.buffer = BytesMut::new();
+                    self.intake.hold(0, self.largest_request());
+                    if self.intake.must_close() {
+                        return;
+                    }
+                    let mut response = HttpResponse::text(error.status(), error.to_string());
+                    if error == HttpError::NoRoom {
+                        self.intake.count_refusal();
+                        response = response.with(text_field("retry-after", NO_ROOM_RETRY_AFTER));
+                    }
+                    if self.write(response, false, true).await.is_ok() {
                         self.linger().await;
                     }
                     return;
@@ -220,30 +255,45 @@
 
     /// Handles one request and returns whether the connection stays open.
     async fn serve_next(&mut self) -> Result<bool, HttpError> {
-        if self.buffer.is_empty() && !self.wait_first_byte().await {
-            return Ok(false);
+        self.intake.enter(IntakeStage::Idle);
+        if self.buffer.is_empty() {
+            // An idle connection does not keep the buffer of its last request.
+            self.buffer = BytesMut::new();
+            self.intake.hold(0, self.largest_request());
+            if !self.wait_first_byte().await {
+                return Ok(false);
+            }
         }
+        self.intake.enter(IntakeStage::Reading);
         // From its first byte on, a request is active, and shutdown waits for it.
         let active = ActiveGuard::start(&self.switch);
-        let head = match self.read_head().await? {
-            HeadRead::Head(head) => head,
+        let (head, head_bytes) = match self.read_head().await? {
+            HeadRead::Head(head, length) => (head, length),
             HeadRead::Closed => return Ok(false),
         };
-        let body = self.read_body(&head).await?;
+        let body = self.read_body(&head, head_bytes).await?;
+        let served = served_bytes(head_bytes, body.len());
+        if !self.intake.hold(served + self.buffer.len(), self.largest_request()) {
+            return Err(HttpError::NoRoom);
+        }
+        self.intake.enter(IntakeStage::Serving);
         let keeps_connection = head.keeps_connection();
         let is_head_request = &head.method[..] == b"HEAD";
         let handler = Rc::clone(&self.handler);
+        let largest = self.largest_request();
         let response = {
             let answering = handler.handle(HttpRequest { head, body });
             tokio::pin!(answering);
             tokio::select! {
                 biased;
                 response = &mut answering => response,
-                () = wait_disconnected(&self.stream, &mut self.buffer) => return Ok(false),
+                () = wait_disconnected(&self.stream, &mut self.buffer, &self.intake, served, largest) => {
+                    return Ok(false);
+                }
             }
         };
         let is_last = !keeps_connection || self.switch.phase() > ServerPhase::Serving;
-        let written = self.write(&response, is_head_request, is_last).await;
+        let written = self.write(response, is_head_request, is_last).await;
         drop(active);
         if written.is_err() {
             return Ok(false);
@@ -259,14 +309,16 @@
         let limits = self.handler.limits();
         let deadline = Instant::now() + limits.header_timeout;
         loop {
+            let received = self.buffer.len();
             if let Some(head) = RequestHead::take(&mut self.buffer, limits.header_bytes)? {
-                return Ok(HeadRead::Head(head));
+                return Ok(HeadRead::Head(head, received - self.buffer.len()));
             }
-            match timeout_at(deadline, read_some(&self.stream, &mut self.buffer)).await {
-                Ok(Ok(0) | Err(_)) => return Ok(HeadRead::Closed),
-                Ok(Ok(_)) => {}
+            self.hold_request(received)?;
+            match timeout_at(deadline, self.read_more()).await {
+                Ok(Ok(0)) => return Ok(HeadRead::Closed),
+                Ok(read) => read?,
                 Err(_) => return Err(HttpError::HeadTimedOut),
-            }
+            };
         }
     }
 
@@ -280,6 +332,7 @@
         let idle = self.handler.limits().idle_timeout;
         tokio::select! {
             biased;
+            () = self.intake.wait_given_up() => false,
             read = timeout(idle, read_some(&self.stream, &mut self.buffer)) => {
                 matches!(read, Ok(Ok(length)) if length > 0)
             }
@@ -287,7 +340,11 @@
         }
     }
 
-    async fn read_body(&mut self, head: &RequestHead) -> Result<Bytes, HttpError> {
+    async fn read_body(
+        &mut self,
+        head: &RequestHead,
+        head_bytes: usize,
+    ) -> Result<Bytes, HttpError> {
         let limit = self.handler.limits().body_bytes;
         let mut reader = BodyReader::start(frame_request(head)?, limit)?;
         let mut is_continued = !head.headers.has_token("expect", "100-continue");
@@ -296,32 +353,97 @@
             if !is_continued {
                 is_continued = true;
                 let line = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
-                line.await.map_err(|_| HttpError::Truncated)?;
+                tokio::select! {
+                    biased;
+                    () = self.intake.wait_given_up() => return Err(HttpError::GivenUp),
+                    written = timeout_at(deadline, line) => match written {
+                        Ok(written) => written.map_err(|_| HttpError::Truncated)?,
+                        Err(_) => return Err(HttpError::BodyTimedOut),
+                    },
+                }
             }
-            match timeout_at(deadline, read_some(&self.stream, &mut self.buffer)).await {
-                Ok(Ok(0) | Err(_)) => return Err(HttpError::Truncated),
-                Ok(Ok(_)) => {}
+            self.hold_request(head_bytes + self.buffer.len() + reader.held_bytes())?;
+            match timeout_at(deadline, self.read_more()).await {
+                Ok(Ok(0)) => return Err(HttpError::Truncated),
+                Ok(read) => read?,
                 Err(_) => return Err(HttpError::BodyTimedOut),
-            }
+            };
         }
         Ok(reader.into_body())
     }
 
+    /// Returns the most bytes that one request takes within the limits.
+    fn largest_request(&self) -> usize {
+        let limits = self.handler.limits();
+        served_bytes(limits.header_bytes, limits.body_bytes) + MAX_READ_AHEAD
+    }
+
+    /// Records the bytes of a request that is being read.
+    fn hold_request(&self, bytes: usize) -> Result<(), HttpError> {
+        let has_room = self.intake.hold(bytes, self.largest_request());
+        if has_room { Ok(()) } else { Err(HttpError::NoRoom) }
+    }
+
+    /// Reads more of a request; returns 0 at the end of the stream, also if it is broken.
+    async fn read_more(&mut self) -> Result<usize, HttpError> {
+        tokio::select! {
+            biased;
+            () = self.intake.wait_given_up() => Err(HttpError::GivenUp),
+            read = async {
+                self.intake.wait_released().await;
+                read_some(&self.stream, &mut self.buffer).await
+            } => {
+                let length = read.unwrap_or(0);
+                self.intake.record_progress(length);
+                Ok(length)
+            }
+        }
+    }
+
     async fn write(
         &mut self,
-        response: &HttpResponse,
+        response: HttpResponse,
         is_to_head: bool,
         is_last: bool,
     ) -> io::Result<()> {
-        let encoded = response.encode(is_to_head, is_last);
-        match timeout(WRITE_TIMEOUT, self.stream.write_all(&encoded)).await {
-            Ok(written) => written,
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        let mut rest = response.encode(is_to_head, is_last);
+        let held = response_bytes(rest.remaining());
+        self.intake.enter(IntakeStage::Writing);
+        let deadline = Instant::now() + WRITE_TIMEOUT;
+        loop {
+            let mut slices = [IoSlice::new(&[]); 2];
+            let count = rest.chunks_vectored(&mut slices);
+            match self.stream.try_write_vectored(&slices[..count]) {
+                Ok(written) => {
+                    self.intake.record_progress(written);
+                    rest.advance(written);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+            if !rest.has_remaining() {
+                return Ok(());
+            }
+            // Only what the kernel does not take at once needs room.
+            if !self.intake.hold(held + self.buffer.len(), self.largest_request()) {
+                self.intake.count_refusal();
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            tokio::select! {
+                biased;
+                () = self.intake.wait_given_up() => return Err(io::ErrorKind::OutOfMemory.into()),
+                ready = timeout_at(deadline, self.stream.writable()) => match ready {
+                    Ok(ready) => ready?,
+                    Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+                },
+            }
         }
     }
 
     /// Closes the sending side and discards what still arrives, for at most [`LINGER_TIMEOUT`].
     async fn linger(&mut self) {
+        self.intake.enter(IntakeStage::Closing);
+        self.intake.hold(0, self.largest_request());
         if self.stream.shutdown().await.is_err() {
             return;
         }
@@ -333,7 +455,10 @@
         };
         // Dropping the connection after the timeout may reset it; by then the caller has had time to
         // read the response.
-        let _ = timeout(LINGER_TIMEOUT, drain).await;
+        tokio::select! {
+            () = self.intake.wait_given_up() => {}
+            _ = timeout(LINGER_TIMEOUT, drain) => {}
+        }
     }
 }
 
@@ -341,19 +466,27 @@
 async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
         stream.readable().await?;
-        match read_available(stream, buffer, READ_BYTES) {
+        match read_available(stream, buffer, READ_BYTES, MAX_READ_BYTES) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             read => return read,
         }
     }
 }
 
-/// Waits until the caller disconnects; keeps pipelined bytes in the buffer.
-async fn wait_disconnected(stream: &TcpStream, buffer: &mut BytesMut) {
-    while buffer.len() <= MAX_READ_AHEAD {
+/// Waits until the caller disconnects; keeps pipelined bytes in the buffer as far as there is room for
+/// them beside the `served` bytes of the request.
+async fn wait_disconnected(
+    stream: &TcpStream,
+    buffer: &mut BytesMut,
+    intake: &ConnectionIntake,
+    served: usize,
+    largest: usize,
+) {
+    while buffer.len() <= MAX_READ_AHEAD && intake.allows_read_ahead() {
         match read_some(stream, buffer).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) if intake.hold(served + buffer.len(), largest) => {}
+            Ok(_) => break,
         }
     }
     std::future::pending().await
--- a/crates/figgladed/src/process/edge.rs
+++ b/crates/figgladed/src/process/edge.rs
@@ -8,7 +8,7 @@
         hub_chooser::HubChooser,
         route_set::{CallerLimits, RouteCodec},
     },
-    filter::shutdown::ShutdownPlan,
+    filter::{intake::IntakeLimits, shutdown::ShutdownPlan},
 };
 use slog::{Logger, info};
 use tokio::{
@@ -26,8 +26,8 @@
 use crate::{
     clock::ProcessClock,
     http1::{
-        HttpHandler, HttpRequest, HttpResponse, HttpServer, LocalFuture, ServerPhase,
-        ShutdownSignal,
+        HttpHandler, HttpRequest, HttpResponse, HttpServer, IntakeControl, LocalFuture,
+        ServerPhase, ShutdownSignal,
     },
     hub::{HubFollower, HubHandler},
     peer_link::{PeerLimits, PeerOptions, PeerTransport},
@@ -39,6 +39,10 @@
 
 /// The maximum number of messages queued for the thread of the process.
 pub(super) const MAX_QUEUED_INPUTS: usize = 1_024;
+/// The bytes held for the connections of readiness probes, and for those that read metrics.
+const PROBE_BYTES: usize = 1 << 20;
+/// The maximum number of connections of readiness probes, and of those that read metrics.
+const MAX_PROBE_CONNECTIONS: usize = 32;
 /// The time between two maintenance runs of the connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// The time after which a peer that reads nothing or answers no ping is disconnected: a stalled
@@ -101,12 +105,16 @@
     spawn_local(maintain(Rc::clone(&edge), Rc::clone(&handover)));
     let aggregator = Rc::new(AggregatorService::new(Rc::clone(&edge), Rc::clone(&handover)));
     spawn_local(Rc::clone(&aggregator).run(received_searches));
-    serve(callers, Rc::new(RelayHandler::new(Rc::clone(&edge), handover)), &switch, &log);
+    let intake = caller_intake(&settings, clock, &log);
+    let relay = Rc::new(RelayHandler::new(Rc::clone(&edge), handover));
+    serve(callers, relay, &intake, &switch, &log);
     let probe_switch = Rc::new(ShutdownSignal::default());
-    serve(readiness, Rc::new(ReadyHandler::new(Rc::clone(&edge))), &probe_switch, &log);
+    let ready = Rc::new(ReadyHandler::new(Rc::clone(&edge)));
+    serve(readiness, ready, &probe_intake(clock, &log), &probe_switch, &log);
     if let Some(address) = settings.metrics {
         let metrics = Rc::clone(edge.metrics());
-        serve_metrics(address, move || RelayMetrics::render(&metrics), &log).await;
+        let render = move || RelayMetrics::render(&metrics) + &intake.render();
+        serve_metrics(address, render, clock, &log).await;
     }
     let grace = settings.stop_grace;
     watch.wait_for_stop(reader.as_ref(), |settings| follower.update_seeds(&settings.seeds)).await;
@@ -171,14 +179,32 @@
     Ok(PeerTransport::start(options, Arc::new(handler), log.clone()).await?)
 }
 
+/// Builds the accounts of what the process holds for callers, or a hub for targets and operators.
+pub(super) fn caller_intake(
+    settings: &ProcessSettings,
+    clock: ProcessClock,
+    log: &Logger,
+) -> Rc<IntakeControl> {
+    let limits = IntakeLimits::new(settings.edge.memory, settings.max_files);
+    Rc::new(IntakeControl::new(limits, clock, log.clone()))
+}
+
+/// Builds the accounts of a listener for the platform itself, which callers thus cannot exhaust.
+fn probe_intake(clock: ProcessClock, log: &Logger) -> Rc<IntakeControl> {
+    let limits = IntakeLimits::for_probes(PROBE_BYTES, MAX_PROBE_CONNECTIONS);
+    Rc::new(IntakeControl::new(limits, clock, log.clone()))
+}
+
 /// Serves the connections of a listener in the background.
 pub(super) fn serve(
     listener: TcpListener,
     handler: Rc<dyn HttpHandler>,
+    intake: &Rc<IntakeControl>,
     switch: &Rc<ShutdownSignal>,
     log: &Logger,
 ) {
-    let server = HttpServer { listener, handler, switch: Rc::clone(switch), log: log.clone() };
+    let (intake, switch) = (Rc::clone(intake), Rc::clone(switch));
+    let server = HttpServer { listener, handler, intake, switch, log: log.clone() };
     spawn_local(server.run());
 }
 
@@ -186,12 +212,13 @@
 pub(super) async fn serve_metrics(
     address: SocketAddr,
     render: impl Fn() -> String + 'static,
+    clock: ProcessClock,
     log: &Logger,
 ) {
     match listen(address).await {
         Ok(listener) => {
             let handler = Rc::new(MetricsHandler(render));
-            serve(listener, handler, &Rc::default(), log);
+            serve(listener, handler, &probe_intake(clock, log), &Rc::default(), log);
         }
         // The process can serve requests without metrics.
         Err(error) => slog::warn!(log, "process: cannot serve metrics"; "reason" => %error),
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    edge::{MAX_QUEUED_INPUTS, listen, require, serve, serve_metrics, start_links},
+    edge::{MAX_QUEUED_INPUTS, caller_intake, listen, require, serve, serve_metrics, start_links},
     error::ProcessError,
     settings::{ProcessSettings, SettingsReader},
     watch::ProcessWatch,
@@ -93,10 +93,12 @@
     node.update_seeds(&settings.seeds);
     let switch = Rc::new(ShutdownSignal::default());
     spawn_local(Rc::clone(&node).run(received));
-    serve(listener, admin(Rc::clone(&node), log.clone()), &switch, &log);
+    let intake = caller_intake(&settings, clock, &log);
+    serve(listener, admin(Rc::clone(&node), log.clone()), &intake, &switch, &log);
     if let Some(address) = settings.metrics {
         let metrics_node = Rc::clone(&node);
-        serve_metrics(address, move || metrics_node.render_metrics(), &log).await;
+        let render = move || metrics_node.render_metrics() + &intake.render();
+        serve_metrics(address, render, clock, &log).await;
     }
     let routes_changed = Arc::new(Notify::new());
     spawn_local(broadcast_routes(Rc::clone(&node), Arc::clone(&routes_changed)));
--- a/crates/figgladed/src/process/settings.rs
+++ b/crates/figgladed/src/process/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use figglade::{InstanceId, ZoneName};
+use figglade::{FileLimit, InstanceId, ZoneName};
 
 use super::error::ProcessError;
 use crate::relay::EdgeRules;
@@ -45,6 +45,8 @@
     pub report_period: Duration,
     /// The time between the request to stop and the kill.
     pub stop_grace: Duration,
+    /// The number of file descriptors that it may have open.
+    pub max_files: FileLimit,
     /// The rules of the data path.
     pub edge: EdgeRules,
 }
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -195,6 +195,10 @@
                 }
                 match self.parse_answer(&mut buffer, &mut pending, is_clean_end) {
                     Ok(Some(answer)) => {
+                        if buffer.is_empty() && answer.body.len() > READ_BUFFER_BYTES {
+                            // The rest of the allocation would stay in memory with the connection.
+                            buffer = BytesMut::new();
+                        }
                         if !self.deliver_answer(answer, &buffer, is_end, owner) {
                             return AttemptEnd::Lost;
                         }
@@ -245,7 +249,7 @@
                     if let Err(error) = ready {
                         return Some(Err(error));
                     }
-                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES) {
+                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES, usize::MAX) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         read => return Some(read),
                     }
--- a/crates/figgladed/tests/http1_server.rs
+++ b/crates/figgladed/tests/http1_server.rs
@@ -2,9 +2,13 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use figglade::controller::route_set::CallerLimits;
-use figgladed::http1::{
-    HttpHandler, HttpRequest, HttpResponse, HttpServer, LocalFuture, ServerPhase, ShutdownSignal,
+use figglade::{controller::route_set::CallerLimits, filter::intake::IntakeLimits};
+use figgladed::{
+    clock::ProcessClock,
+    http1::{
+        HttpHandler, HttpRequest, HttpResponse, HttpServer, IntakeControl, LocalFuture,
+        ServerPhase, ShutdownSignal,
+    },
 };
 use slog::{Discard, Logger, o};
 use tokio::{
@@ -50,11 +54,14 @@
         let address = listener.local_addr().unwrap();
         let handler = Rc::new(CountingHandler::default());
         let switch = Rc::new(ShutdownSignal::default());
+        let log = Logger::root(Discard, o!());
+        let limits = IntakeLimits::for_probes(1 << 20, 4);
         let server = HttpServer {
             listener,
             handler: Rc::clone(&handler) as Rc<dyn HttpHandler>,
             switch: Rc::clone(&switch),
-            log: Logger::root(Discard, o!()),
+            intake: Rc::new(IntakeControl::new(limits, ProcessClock::start(), log.clone())),
+            log,
         };
         spawn_local(server.run());
         switch.advance(ServerPhase::Draining);
