Reject answers whose status code is missing or outside 100 to 599

Cause: a missing status code counted as 0, and any three digits of a target reached the caller. A final answer with an interim status was skipped, so that its request waited until the deadline.

Change: `ResponseHead::take` fails on such a code, so that the attempt is lost, the connection closed, and nothing passed on. `ResponseHead::is_interim` rejects an interim status in a response that declares a body, and a switch of protocols. Interim responses without a body are skipped as before.

--- a/crates/figgladed/src/http1/error.rs
+++ b/crates/figgladed/src/http1/error.rs
@@ -8,6 +8,9 @@
     /// The head cannot be parsed.
     #[display("the head is malformed")]
     BadHead,
+    /// The status code is missing, outside 100 to 599, or that of an interim response in a final one.
+    #[display("the status code is not valid")]
+    BadStatus,
     /// The head exceeds the limit.
     #[display("the head is too large")]
     HeadTooLarge,
@@ -41,7 +44,11 @@
     /// Returns the status code sent to the caller.
     pub const fn status(self) -> u16 {
         match self {
-            Self::BadHead | Self::BadFraming | Self::BadChunk | Self::Truncated => 400,
+            Self::BadHead
+            | Self::BadStatus
+            | Self::BadFraming
+            | Self::BadChunk
+            | Self::Truncated => 400,
             Self::HeadTooLarge => 431,
             Self::HeadTimedOut | Self::BodyTimedOut | Self::GivenUp => 408,
             Self::NoRoom => 503,
--- a/crates/figgladed/src/http1/head.rs
+++ b/crates/figgladed/src/http1/head.rs
@@ -1,6 +1,6 @@
 //! Parsing of request and response heads.
 
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 use bytes::{Bytes, BytesMut};
 
@@ -8,6 +8,12 @@
 
 /// The maximum number of header fields of a message.
 const MAX_HEADER_FIELDS: usize = 100;
+/// The status codes that a response may have (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+/// The lowest status code of a final response.
+const FIRST_FINAL_STATUS: u16 = 200;
+/// The status code with which a server switches to another protocol, which no request asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// The hop-by-hop headers, and those of framing, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -145,7 +151,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the head is malformed or longer than `limit` bytes.
+    /// Fails when the head is malformed or longer than `limit` bytes, and when its status code is missing
+    /// or outside 100 to 599.
     pub fn take(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HttpError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut parsed = httparse::Response::new(&mut fields);
@@ -156,7 +163,8 @@
             Err(_) => return Err(HttpError::BadHead),
         };
         let base = buffer.as_ptr() as usize;
-        let status = parsed.code.unwrap_or_default();
+        let status = parsed.code.filter(|code| VALID_STATUSES.contains(code));
+        let status = status.ok_or(HttpError::BadStatus)?;
         let reason = span_of(base, parsed.reason.unwrap_or_default().as_bytes());
         let is_http11 = parsed.version == Some(1);
         let spans = field_spans(base, parsed.headers);
@@ -165,6 +173,24 @@
         Ok(Some(Self { status, reason: raw.slice(reason), is_http11, headers }))
     }
 
+    /// Returns whether the response is interim, so that the final one follows.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a final response has an interim status: one that declares a body, which no interim
+    /// response has, or a switch to another protocol.
+    pub fn is_interim(&self) -> Result<bool, HttpError> {
+        if self.status >= FIRST_FINAL_STATUS {
+            return Ok(false);
+        }
+        let mut framing = ["content-length", "transfer-encoding"].into_iter();
+        let declares_body = framing.any(|name| self.headers.get(name).is_some());
+        if self.status == SWITCHING_PROTOCOLS || declares_body {
+            return Err(HttpError::BadStatus);
+        }
+        Ok(true)
+    }
+
     /// Returns whether the sender keeps the connection open after the response.
     pub fn keeps_connection(&self) -> bool {
         self.is_http11 && !self.headers.has_token("connection", "close")
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -311,7 +311,7 @@
             let length = buffer.len();
             let Some(head) = ResponseHead::take(buffer, MAX_HEAD_BYTES)? else { return Ok(None) };
             let mut state = self.state.borrow_mut();
-            if (100..200).contains(&head.status) {
+            if head.is_interim()? {
                 state.interim_bytes += length - buffer.len();
                 if state.interim_bytes > MAX_HEAD_BYTES {
                     return Err(HttpError::HeadTooLarge);
--- a/crates/figgladed/tests/http1_messages.rs
+++ b/crates/figgladed/tests/http1_messages.rs
@@ -153,3 +153,18 @@
     assert_eq!(frame("HTTP/1.1 204 No Content\r\n\r\n", false), BodyFraming::Length(0));
     assert_eq!(frame("HTTP/1.1 200 OK\r\n\r\n", false), BodyFraming::UntilClose);
 }
+
+/// Guards against a missing status that counts as 0, and against any three digits that are passed on.
+#[test]
+fn a_status_outside_the_defined_range_is_rejected() {
+    for line in ["000 Odd", "099 Odd", "600 Odd", "999 Odd", "999", "20 Odd", "2000 Odd", "", "OK"]
+    {
+        let mut buffer = BytesMut::from(format!("HTTP/1.1 {line}\r\n\r\n").as_bytes());
+        assert!(ResponseHead::take(&mut buffer, LIMIT).is_err(), "{line:?}");
+    }
+    for status in [100, 199, 200, 599] {
+        let mut buffer = BytesMut::from(format!("HTTP/1.1 {status} Known\r\n\r\n").as_bytes());
+        let head = ResponseHead::take(&mut buffer, LIMIT).unwrap().unwrap();
+        assert_eq!(head.status, status);
+    }
+}
