Leave room for small requests beside large ones that are served

Cause: requests that are served do not give way, so that complete large bodies could take the whole bound on bytes for callers, and small requests of others were refused. Answers were read up to the spare capacity of their buffer before the bound on incomplete answers was checked.

Change: a request may take at most as much as it leaves for others while it is served (`IntakeLedger::serve`). One read of an answer takes at most 64 KiB.

--- a/crates/figglade/src/filter/intake.rs
+++ b/crates/figglade/src/filter/intake.rs
@@ -144,6 +144,8 @@
     limits: IntakeLimits,
     connections: BTreeMap<ConnectionNumber, ConnectionState>,
     held: usize,
+    /// The bytes held for requests that are being served, a part of `held`.
+    serving: usize,
     releasing: usize,
     next: u64,
 }
@@ -151,7 +153,7 @@
 impl IntakeLedger {
     /// Creates a ledger without connections.
     pub const fn new(limits: IntakeLimits) -> Self {
-        Self { limits, connections: BTreeMap::new(), held: 0, releasing: 0, next: 0 }
+        Self { limits, connections: BTreeMap::new(), held: 0, serving: 0, releasing: 0, next: 0 }
     }
 
     /// Adds a connection. Returns its number, and the connection that must be closed for it, which is
@@ -181,10 +183,16 @@
         Some((number, closed))
     }
 
-    /// Records that a connection enters a stage.
+    /// Records that a connection enters a stage. [`Self::serve`] decides whether a request is served.
     pub fn enter(&mut self, number: ConnectionNumber, stage: IntakeStage, now: Timestamp) {
         if let Some(state) = self.connections.get_mut(&number) {
-            state.has_been_served |= state.stage == IntakeStage::Serving;
+            if state.stage == IntakeStage::Serving {
+                state.has_been_served = true;
+                self.serving -= state.held;
+            }
+            if stage == IntakeStage::Serving {
+                self.serving += state.held;
+            }
             state.stage = stage;
             state.moved = 0;
             state.progress_at = now;
@@ -231,6 +239,28 @@
         IntakeDecision { has_room: true, given_up }
     }
 
+    /// Decides whether a complete request is served that takes `bytes` meanwhile, and records it.
+    ///
+    /// As such a request does not give way, it may take at most as much as it leaves for others. Beside
+    /// large requests, small ones thus still find room.
+    pub fn serve(
+        &mut self,
+        number: ConnectionNumber,
+        bytes: usize,
+        largest: usize,
+        now: Timestamp,
+    ) -> IntakeDecision {
+        let room = self.limits.bytes.max(largest).saturating_sub(self.serving);
+        if self.serving > 0 && bytes > room / 2 {
+            return IntakeDecision { has_room: false, given_up: Vec::new() };
+        }
+        let decision = self.hold(number, bytes, largest, now);
+        if decision.has_room {
+            self.enter(number, IntakeStage::Serving, now);
+        }
+        decision
+    }
+
     /// Returns whether a connection that is being served may read ahead. At most half of the bound is
     /// used for that, as such a connection does not give way.
     pub const fn allows_read_ahead(&self) -> bool {
@@ -277,7 +307,11 @@
 
     fn set_held(&mut self, number: ConnectionNumber, bytes: usize) {
         if let Some(state) = self.connections.get_mut(&number) {
-            self.held = self.held - std::mem::replace(&mut state.held, bytes) + bytes;
+            let former = std::mem::replace(&mut state.held, bytes);
+            self.held = self.held - former + bytes;
+            if state.stage == IntakeStage::Serving {
+                self.serving = self.serving - former + bytes;
+            }
         }
     }
 }
--- a/crates/figglade/tests/intake.rs
+++ b/crates/figglade/tests/intake.rs
@@ -74,6 +74,24 @@
     assert!(!decision.has_room && decision.given_up.is_empty());
 }
 
+/// Guards against complete large requests, which may run and do not give way, that leave no memory for
+/// the small ones of ordinary callers.
+#[test]
+fn small_requests_find_room_beside_large_ones_that_are_served() {
+    let mut ledger = IntakeLedger::new(IntakeLimits::for_probes(100_000, 200));
+    let mut serve = |bytes| {
+        let number = reader(&mut ledger, 0);
+        let has_room = ledger.serve(number, bytes, LARGEST, at(0)).has_room;
+        if !has_room {
+            ledger.remove(number);
+        }
+        has_room
+    };
+    let large = (0..20).filter(|_| serve(10_000)).count();
+    assert_eq!(large, 9);
+    assert!((0..20).all(|_| serve(200)));
+}
+
 /// Guards against more reads while the memory that was given up is still in use.
 #[test]
 fn what_is_given_up_is_awaited_until_it_is_freed() {
--- a/crates/figgladed/src/http1/intake.rs
+++ b/crates/figgladed/src/http1/intake.rs
@@ -10,7 +10,7 @@
 
 use figglade::{
     Timestamp,
-    filter::intake::{ConnectionNumber, IntakeLedger, IntakeLimits, IntakeStage},
+    filter::intake::{ConnectionNumber, IntakeDecision, IntakeLedger, IntakeLimits, IntakeStage},
 };
 use slog::{Logger, warn};
 use tokio::{sync::Notify, task::yield_now};
@@ -124,6 +124,15 @@
         out
     }
 
+    /// Tells the connections that give way, and returns whether there is room.
+    fn apply(&self, decision: IntakeDecision) -> bool {
+        for number in decision.given_up {
+            self.count(&self.counters.given_up);
+            self.signal(number, false);
+        }
+        decision.has_room
+    }
+
     fn signal(&self, number: ConnectionNumber, must_close: bool) {
         if let Some(signal) = self.signals.borrow().get(&number) {
             if must_close {
@@ -175,11 +184,14 @@
     pub(super) fn hold(&self, bytes: usize, largest: usize) -> bool {
         let now = self.control.clock.now();
         let decision = self.control.ledger.borrow_mut().hold(self.number, bytes, largest, now);
-        for number in decision.given_up {
-            self.control.count(&self.control.counters.given_up);
-            self.control.signal(number, false);
-        }
-        decision.has_room
+        self.control.apply(decision)
+    }
+
+    /// Returns whether a complete request is served that takes `bytes` meanwhile, and records it.
+    pub(super) fn serve(&self, bytes: usize, largest: usize) -> bool {
+        let now = self.control.clock.now();
+        let decision = self.control.ledger.borrow_mut().serve(self.number, bytes, largest, now);
+        self.control.apply(decision)
     }
 
     /// Counts that the connection itself found no room.
--- a/crates/figgladed/src/http1/server.rs
+++ b/crates/figgladed/src/http1/server.rs
@@ -273,10 +273,9 @@
         };
         let body = self.read_body(&head, head_bytes).await?;
         let served = served_bytes(head_bytes, body.len());
-        if !self.intake.hold(served + self.buffer.len(), self.largest_request()) {
+        if !self.intake.serve(served + self.buffer.len(), self.largest_request()) {
             return Err(HttpError::NoRoom);
         }
-        self.intake.enter(IntakeStage::Serving);
         let keeps_connection = head.keeps_connection();
         let is_head_request = &head.method[..] == b"HEAD";
         let handler = Rc::clone(&self.handler);
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -26,6 +26,9 @@
 
 /// The buffer capacity reserved for a read, in bytes.
 const READ_BUFFER_BYTES: usize = 8_192;
+/// The maximum number of bytes of one read. The bound on incomplete answers is checked after each read,
+/// so that this is the most by which each connection exceeds it.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// The maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The age below which a close without an answer means that the target accepts no more connections.
@@ -249,7 +252,7 @@
                     if let Err(error) = ready {
                         return Some(Err(error));
                     }
-                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES, usize::MAX) {
+                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES, MAX_READ_BYTES) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         read => return Some(read),
                     }
