--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod caller_network;
 pub mod fanout;
+pub mod intake;
 pub mod latency;
 pub mod load;
 pub mod merge;
--- a/crates/figgladed/src/relay/link.rs
+++ b/crates/figgladed/src/relay/link.rs
@@ -26,6 +26,9 @@
 
 /// The buffer capacity reserved for a read, in bytes.
 const READ_BUFFER_BYTES: usize = 8_192;
+/// The maximum number of bytes of one read. The bound on incomplete answers is checked after each read,
+/// so that this is the most by which each connection exceeds it.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// The maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The age below which a close without an answer means that the target accepts no more connections.
@@ -195,6 +198,10 @@
                 }
                 match self.parse_answer(&mut buffer, &mut pending, is_clean_end) {
                     Ok(Some(answer)) => {
+                        if buffer.is_empty() && answer.body.len() > READ_BUFFER_BYTES {
+                            // The rest of the allocation would stay in memory with the connection.
+                            buffer = BytesMut::new();
+                        }
                         if !self.deliver_answer(answer, &buffer, is_end, owner) {
                             return AttemptEnd::Lost;
                         }
@@ -245,7 +252,7 @@
                     if let Err(error) = ready {
                         return Some(Err(error));
                     }
-                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES) {
+                    match read_available(&self.stream, buffer, READ_BUFFER_BYTES, MAX_READ_BYTES) {
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         read => return Some(read),
                     }
@@ -307,7 +314,7 @@
             let length = buffer.len();
             let Some(head) = ResponseHead::take(buffer, MAX_HEAD_BYTES)? else { return Ok(None) };
             let mut state = self.state.borrow_mut();
-            if (100..200).contains(&head.status) {
+            if head.is_interim()? {
                 state.interim_bytes += length - buffer.len();
                 if state.interim_bytes > MAX_HEAD_BYTES {
                     return Err(HttpError::HeadTooLarge);
