--- a/crates/figglade/src/controller/route_set/check.rs
+++ b/crates/figglade/src/controller/route_set/check.rs
@@ -69,11 +69,14 @@
         second: CustomerName,
     },
     /// The rate or the burst of a customer is negative or not finite.
-    #[display("rate and burst of customer {customer} must be finite numbers of at least 0")]
+    #[display("rate {rate} and burst {burst} of customer {customer} must be finite and at least 0")]
     InvalidQuota {
         /// The customer.
-        #[error(not(source))]
         customer: CustomerName,
+        /// The rate.
+        rate: String,
+        /// The burst.
+        burst: String,
     },
     /// A route has no destination.
     #[display("route {route:?} must name a service, weighted services or shards")]
--- a/crates/figglade/src/controller/route_set/customers.rs
+++ b/crates/figglade/src/controller/route_set/customers.rs
@@ -52,6 +52,30 @@
     pub burst: f64,
 }
 
+impl CustomerQuota {
+    /// Returns whether it bounds anything; a rate of 0 means that there is no bound.
+    pub fn is_bound(&self) -> bool {
+        self.rate.get() != 0.0
+    }
+
+    /// Checks the numbers of the quota of `customer`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the rate or the burst is negative or not finite.
+    pub fn check(&self, customer: &CustomerName) -> Result<(), RouteSetError> {
+        let is_allowed = |number: f64| number.is_finite() && number >= 0.0;
+        if is_allowed(self.rate.get()) && is_allowed(self.burst) {
+            return Ok(());
+        }
+        Err(RouteSetError::InvalidQuota {
+            customer: customer.clone(),
+            rate: self.rate.to_string(),
+            burst: self.burst.to_string(),
+        })
+    }
+}
+
 /// Finds the customer of a key.
 #[derive(Clone, Debug, Default)]
 pub struct CustomerTable {
@@ -59,7 +83,7 @@
 }
 
 impl CustomerTable {
-    /// Builds the table of `customers` that passed validation.
+    /// Builds the table of `customers` that passed validation. An empty key identifies none.
     pub fn new(customers: &[CustomerSpec]) -> Self {
         let keys = customers.iter().enumerate().flat_map(|(position, customer)| {
             let usable = customer.keys.iter().filter(|key| !key.as_bytes().is_empty());
@@ -78,17 +102,16 @@
 pub(super) fn check_customers(customers: &[CustomerSpec]) -> Result<(), RouteSetError> {
     let mut holders: HashMap<&CallerKey, &CustomerSpec> = HashMap::new();
     for customer in customers {
-        let name = || customer.name.clone();
         if let Some(quota) = &customer.quota {
-            let is_allowed = |number: f64| number.is_finite() && number >= 0.0;
-            if !is_allowed(quota.rate.get()) || !is_allowed(quota.burst) {
-                return Err(RouteSetError::InvalidQuota { customer: name() });
-            }
+            quota.check(&customer.name)?;
         }
         for key in &customer.keys {
             let other = holders.insert(key, customer);
             if let Some(other) = other.filter(|other| !std::ptr::eq(*other, customer)) {
-                return Err(RouteSetError::SharedKey { first: other.name.clone(), second: name() });
+                return Err(RouteSetError::SharedKey {
+                    first: other.name.clone(),
+                    second: customer.name.clone(),
+                });
             }
         }
     }
--- a/crates/figglade/src/filter/access.rs
+++ b/crates/figglade/src/filter/access.rs
@@ -1,6 +1,40 @@
 //! Decides by its key whether a request is served, and for which customer.
 
-use crate::controller::route_set::{CustomerSpec, RouteSpec, RouteTable};
+use std::time::Duration;
+
+use crate::{
+    Timestamp,
+    controller::route_set::{CustomerSpec, RouteSpec, RouteTable},
+};
+
+/// The age of a proof above which a known key is not accepted any more, because it may have been
+/// withdrawn. A withdrawn key stops working within 4 s, also where no hub is reached; a hub may have
+/// lost the control group 1.5 s before it gave its last proof.
+pub const MAX_PROOF_AGE: Duration = Duration::from_millis(2_500);
+
+/// How far it is proved that the route set in force is the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteProof {
+    /// It is proved now.
+    Current,
+    /// It was proved within [`MAX_PROOF_AGE`].
+    Recent,
+    /// It has not been proved since the start, or for longer than that.
+    Missing,
+}
+
+impl RouteProof {
+    /// Returns the state of the proof at `now`; `is_current` is whether it still holds, and
+    /// `proved_at` the time that the last one holds for. The age decides first: an instance that
+    /// was suspended takes its proof for current until its timers run.
+    pub fn new(is_current: bool, proved_at: Option<Timestamp>, now: Timestamp) -> Self {
+        match proved_at {
+            Some(at) if now.since(at) <= MAX_PROOF_AGE && is_current => Self::Current,
+            Some(at) if now.since(at) <= MAX_PROOF_AGE => Self::Recent,
+            _ => Self::Missing,
+        }
+    }
+}
 
 /// The decision on the key of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -9,32 +43,35 @@
     Granted(Option<&'a CustomerSpec>),
     /// No customer holds the key.
     Denied,
-    /// No customer of this route set holds the key, but a newer route set may have one.
+    /// A newer route set may decide otherwise.
     Unproved,
 }
 
-/// Decides on a request on `route` with `key`; `is_current` is whether `table` is proved to be the
-/// newest.
+/// Decides on a request on `route` with `key`; `proof` is the proof that `table` is the newest.
 ///
-/// | route set | route | key | decision |
-/// |---|---|---|---|
-/// | without customers | any | any | granted without a customer |
-/// | with customers | any | held by a customer | granted for that customer |
-/// | with customers | public | missing or unknown | granted without a customer |
-/// | with customers, proved | not public | missing or unknown | denied |
-/// | with customers, not proved | not public | missing or unknown | unproved: the caller asks again |
+/// | route set | route | key | proof | decision |
+/// |---|---|---|---|---|
+/// | without customers | any | any | any | granted without a customer |
+/// | with customers | public | held by a customer | any | granted for that customer |
+/// | with customers | public | missing or unknown | any | granted without a customer |
+/// | with customers | not public | held by a customer | current or recent | granted for that customer |
+/// | with customers | not public | held by a customer | missing | unproved: it may be withdrawn |
+/// | with customers | not public | missing or unknown | current | denied |
+/// | with customers | not public | missing or unknown | recent or missing | unproved: it may be new |
 pub fn decide_access<'a>(
     table: &'a RouteTable,
     route: &RouteSpec,
     key: Option<&[u8]>,
-    is_current: bool,
+    proof: RouteProof,
 ) -> AccessDecision<'a> {
     if !table.has_customers() {
         return AccessDecision::Granted(None);
     }
-    match key.and_then(|key| table.find_customer(key)) {
-        None if !route.is_public && is_current => AccessDecision::Denied,
-        None if !route.is_public => AccessDecision::Unproved,
-        customer => AccessDecision::Granted(customer),
+    let customer = key.and_then(|key| table.find_customer(key));
+    match (customer, proof) {
+        _ if route.is_public => AccessDecision::Granted(customer),
+        (Some(_), RouteProof::Current | RouteProof::Recent) => AccessDecision::Granted(customer),
+        (None, RouteProof::Current) => AccessDecision::Denied,
+        (Some(_), RouteProof::Missing) | (None, _) => AccessDecision::Unproved,
     }
 }
--- a/crates/figglade/src/filter/mod.rs
+++ b/crates/figglade/src/filter/mod.rs
@@ -1,5 +1,5 @@
-//! Stages of a request: access by key, admission, also during a planned stop, pinning of a snapshot, fan-out with
-//! replica choice, hedges and retries, and merging with the coverage.
+//! Stages of a request: access by key, admission, also during a planned stop, pinning of a snapshot,
+//! fan-out with replica choice, hedges and retries, and merging with the coverage.
 
 pub mod access;
 pub mod admission;
--- a/crates/figglade/src/peer.rs
+++ b/crates/figglade/src/peer.rs
@@ -79,7 +79,8 @@
 }
 
 /// Encodes a message without field names, for messages that are sent frequently. New fields may be
-/// added only at the end and need a default.
+/// added only at the end and need a default; earlier releases refuse a message with more fields than
+/// they know, so a message with new fields is encoded by [`encode_payload`].
 ///
 /// # Errors
 ///
@@ -90,7 +91,7 @@
         .map_err(|error| CodecError { reason: error.to_string() })
 }
 
-/// Decodes a message; unknown fields are ignored.
+/// Decodes a message; unknown fields are ignored if they are named.
 ///
 /// # Errors
 ///
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -103,6 +103,7 @@
             zone: Some(self.edge.zone().clone()),
             cores: self.edge.cores(),
             aggregators: self.edge.aggregators().borrow().digest(),
+            sent_at: now,
         };
         let others = self.chooser.borrow_mut().probe_others(now);
         for other in others {
@@ -149,6 +150,12 @@
             // Only the followed hub counts, not one that was only probed or was followed before.
             chooser.is_current(now)
         };
+        // The answer to a poll from before a suspension proves nothing of the time since, and one to a
+        // former run of this process, whose clock was further on, proves nothing at all.
+        let proved_at = status.poll_sent_at.unwrap_or(now);
+        if is_usable && proved_at <= now {
+            self.edge.record_route_proof(status.routes, proved_at);
+        }
         self.edge.update_aggregators(status.aggregators);
         self.edge.update_hub_status(status.followers as usize, is_current);
         self.compare_digests(from, status.digest, now);
--- a/crates/figgladed/src/hub/message.rs
+++ b/crates/figgladed/src/hub/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use figglade::{
-    CoreShare, InstanceId, ZoneName,
+    CoreShare, InstanceId, Timestamp, ZoneName,
     controller::{
         aggregators::{AggregatorAddress, ZoneMembers},
         group_keeper::JoinRequest,
@@ -11,7 +11,7 @@
         route_set::{RouteDocument, RouteSetVersion},
         service_directory::TargetRecord,
     },
-    peer::{CodecError, FrameKind, PeerFrame, encode_compact},
+    peer::{CodecError, FrameKind, PeerFrame, encode_compact, encode_payload},
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,9 @@
     /// The digest of the aggregators known to it.
     #[serde(default)]
     pub aggregators: u64,
+    /// When the poll was sent, on the clock of the sender.
+    #[serde(default)]
+    pub sent_at: Timestamp,
 }
 
 /// The status of a hub.
@@ -71,6 +74,12 @@
     /// The aggregators; empty if the follower's digest of them matches.
     #[serde(default)]
     pub aggregators: Vec<AggregatorAddress>,
+    /// The newest route set that it knows.
+    #[serde(default)]
+    pub routes: Option<RouteSetVersion>,
+    /// When the poll that this answers was sent; `None` from earlier releases.
+    #[serde(default)]
+    pub poll_sent_at: Option<Timestamp>,
 }
 
 /// The state that a hub reports to the other hubs.
@@ -111,7 +120,11 @@
     ///
     /// Fails when the message cannot be encoded.
     pub fn into_frame(self) -> Result<PeerFrame, CodecError> {
-        let payload = encode_compact(&self)?;
+        let payload = match &self {
+            // Earlier releases know fewer fields of these.
+            Self::Subscribe(_) | Self::Status(_) => encode_payload(&self)?,
+            Self::Records(_) | Self::Routes(_) | Self::Greeting(_) => encode_compact(&self)?,
+        };
         Ok(PeerFrame { kind: FrameKind::Registry, payload })
     }
 }
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -42,7 +42,7 @@
             if let Some(routes) = routes.filter(|_| is_behind) {
                 self.send(from, HubMessage::Routes(routes.as_ref().clone()));
             }
-            let status = self.build_status(&state, true, request.aggregators, now);
+            let status = self.build_status(&state, true, request, now);
             return self.send(from, HubMessage::Status(status));
         }
         let known_hubs = state.peers.addresses().filter(|hub| hub.zone.is_some()).count();
@@ -63,7 +63,7 @@
         if follower.watch.compare(digest, request.digest, request.is_new, now) {
             self.send(from, HubMessage::Records(state.directory.records().cloned().collect()));
         }
-        let status = self.build_status(&state, includes_hubs, request.aggregators, now);
+        let status = self.build_status(&state, includes_hubs, request, now);
         self.send(from, HubMessage::Status(status));
     }
 
@@ -71,7 +71,7 @@
         &self,
         state: &HubState,
         includes_hubs: bool,
-        known_aggregators: u64,
+        request: &SubscribeRequest,
         now: Timestamp,
     ) -> HubStatus {
         let mut hubs = Vec::new();
@@ -80,7 +80,7 @@
             hubs.push(HubAddress { peer: self.parts.peer, zone: Some(self.parts.zone.clone()) });
         }
         let mut aggregators = state.aggregators.clone();
-        if digest_aggregators(&aggregators) == known_aggregators {
+        if digest_aggregators(&aggregators) == request.aggregators {
             aggregators.clear();
         }
         HubStatus {
@@ -90,6 +90,8 @@
             digest: state.directory.digest(),
             hubs,
             followers: self.count_followers(state, now),
+            routes: self.routes().map(|routes| routes.version),
+            poll_sent_at: Some(request.sent_at),
         }
     }
 
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -21,6 +21,7 @@
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::{
+        access::RouteProof,
         answer_buffers::BufferLimit,
         scatter::{
             AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
@@ -96,6 +97,10 @@
     aggregators: RefCell<AggregatorPicker>,
     census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
+    /// The time that the last proof of being current holds for.
+    proved_at: Cell<Option<Timestamp>>,
+    /// The newest route set that a hub said to know.
+    announced_routes: Cell<Option<RouteSetVersion>>,
     /// The planned stop in progress.
     shutdown: Cell<Option<ShutdownPlan>>,
 }
@@ -143,6 +148,8 @@
             aggregators: RefCell::new(picker),
             census: RefCell::default(),
             is_current: Cell::new(false),
+            proved_at: Cell::default(),
+            announced_routes: Cell::default(),
             shutdown: Cell::new(None),
         }
     }
@@ -294,6 +301,21 @@
         }
     }
 
+    /// Records that a hub that reaches the control group knew no newer route set than `announced` at
+    /// `at`. This proves the route set in force if it is as new as each announced one.
+    pub fn record_route_proof(&self, announced: Option<RouteSetVersion>, at: Timestamp) {
+        self.announced_routes.update(|held| held.max(announced));
+        if self.route_version() >= self.announced_routes.get() {
+            self.proved_at.update(|held| held.max(Some(at)));
+        }
+    }
+
+    /// Returns how far it is proved that the route set in force is the newest.
+    pub(super) fn route_proof(&self, now: Timestamp) -> RouteProof {
+        let is_newest = self.route_version() >= self.announced_routes.get();
+        RouteProof::new(self.is_current.get() && is_newest, self.proved_at.get(), now)
+    }
+
     /// Records that no hub proves any longer that the local route set is the newest.
     pub fn mark_outdated(&self) {
         self.set_current(false);
--- a/crates/figgladed/src/relay/forward.rs
+++ b/crates/figgladed/src/relay/forward.rs
@@ -55,21 +55,14 @@
     }
 }
 
-/// What targets are told of the customer of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CustomerHeader<'a> {
-    /// The route set has no customers; the headers of the caller are forwarded.
-    Forwarded,
-    /// The name of the customer, if there is one, replaces the headers of the caller.
-    Replaced(Option<&'a CustomerName>),
-}
-
 /// Writes the head of a request for targets, without hop-by-hop headers and those that differ
-/// between targets.
+/// between targets. The name of the customer, if there is one, replaces what the caller sent about
+/// itself. This holds for route sets without customers too, because callers use keys as soon as the
+/// first route set with customers is acknowledged, which this instance may not have yet.
 pub(super) fn write_head(
     request: &HttpRequest,
     names: &HeaderNames,
-    customer: CustomerHeader<'_>,
+    customer: Option<&CustomerName>,
 ) -> Bytes {
     let head = &request.head;
     let mut out = BytesMut::with_capacity(512);
@@ -77,15 +70,13 @@
     out.put_u8(b' ');
     out.put_slice(&head.target);
     out.put_slice(b" HTTP/1.1\r\n");
-    let is_replaced = |name: &[u8]| {
-        names.is_own(name) || customer != CustomerHeader::Forwarded && names.is_identity(name)
-    };
+    let is_replaced = |name: &[u8]| names.is_own(name) || names.is_identity(name);
     for field in &head.headers.0 {
         if !head.headers.is_hop_by_hop_field(field) && !is_replaced(&field.name) {
             put_field(&mut out, &field.name, &field.value);
         }
     }
-    if let CustomerHeader::Replaced(Some(name)) = customer {
+    if let Some(name) = customer {
         put_field(&mut out, names.customer.as_bytes(), name.as_str().as_bytes());
     }
     let declares_body = head.headers.get("content-length").is_some()
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use figglade::{
     Timestamp,
-    controller::route_set::{
-        CallerLimits, CustomerSpec, Destination, RouteSetVersion, RouteSpec, RouteTable,
-    },
+    controller::route_set::{CallerLimits, CustomerSpec, Destination, RouteSetVersion, RouteSpec},
     filter::{
         access::{AccessDecision, decide_access},
         scatter::{FailureReason, ScatterEnd},
@@ -18,7 +16,7 @@
 use super::{
     answer::{TargetAnswer, merge_answers},
     edge::EdgeState,
-    forward::{CustomerHeader, ForwardEnd, ForwardOrder, write_head},
+    forward::{ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
     request_log::{AttemptRecord, RequestRecord},
     search_message::MergedAnswer,
@@ -140,20 +138,20 @@
         context.route = Some(route);
         let wait = caller.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         context.deadline = arrived + wait.min(route.timeout).saturating_sub(ANSWER_MARGIN);
-        let is_current = self.edge.is_current();
-        match decide_access(&table, route, caller.key.as_deref(), is_current) {
+        let proof = self.edge.route_proof(arrived);
+        match decide_access(&table, route, caller.key.as_deref(), proof) {
             AccessDecision::Granted(customer) => context.customer = customer,
-            AccessDecision::Denied => return self.finish(deny_key(), &context),
+            AccessDecision::Denied => return self.finish(self.deny_key(), &context),
             AccessDecision::Unproved => {
                 let response = self.refuse("the customers may be outdated");
-                return self.finish(RequestEnd::plain(response, "no_key_while_outdated"), &context);
+                return self.finish(RequestEnd::plain(response, "key_while_outdated"), &context);
             }
         }
         if let Some(refusal) = self.refuse_early(route, &context) {
             return self.finish(refusal, &context);
         }
         let _active = ActiveCount::start(&self.active);
-        let end = self.serve(request, route, &table, &context, wait).await;
+        let end = self.serve(request, route, &context, wait).await;
         self.finish(end, &context)
     }
 
@@ -175,15 +173,10 @@
         &self,
         request: HttpRequest,
         route: &RouteSpec,
-        table: &RouteTable,
         context: &RequestContext<'_>,
         wait: Duration,
     ) -> RequestEnd {
-        let customer = if table.has_customers() {
-            CustomerHeader::Replaced(context.customer.map(|customer| &customer.name))
-        } else {
-            CustomerHeader::Forwarded
-        };
+        let customer = context.customer.map(|customer| &customer.name);
         let arrived = context.arrived;
         let spent = self.edge.profile_of(route).time_spent_before(wait);
         let order = ForwardOrder {
@@ -217,6 +210,13 @@
         }
     }
 
+    /// Answers a request whose key no customer holds, and names the header for the key.
+    fn deny_key(&self) -> RequestEnd {
+        let response = HttpResponse::text(401, "no customer holds the key of the request")
+            .with(text_field("www-authenticate", self.edge.names.caller_key));
+        RequestEnd::plain(response, "key_denied")
+    }
+
     fn has_capacity(&self, priority: u32) -> bool {
         let share = PRIORITY_SHARES[(priority as usize).min(PRIORITY_SHARES.len() - 1)];
         (self.active.get() as f64) < MAX_ACTIVE_REQUESTS as f64 * share
@@ -348,12 +348,6 @@
     }
 }
 
-/// Answers a request whose key no customer holds.
-fn deny_key() -> RequestEnd {
-    let response = HttpResponse::text(401, "no customer holds the key of the request");
-    RequestEnd::plain(response, "key_denied")
-}
-
 impl HttpHandler for RelayHandler {
     fn handle(&self, request: HttpRequest) -> LocalFuture<'_, HttpResponse> {
         Box::pin(self.answer(request))
--- a/crates/figgladed/tests/hub_messages.rs
+++ b/crates/figgladed/tests/hub_messages.rs
@@ -3,20 +3,21 @@
 use std::net::SocketAddr;
 
 use figglade::{
+    CoreShare, Timestamp,
     controller::{hub_chooser::HubAddress, route_set::RouteSetVersion},
     peer::{decode_payload, encode_compact},
 };
-use figgladed::hub::HubMessage;
-use serde::Serialize;
+use figgladed::hub::{HubMessage, HubStatus, SubscribeRequest};
+use serde::{Deserialize, Serialize};
 
 /// The messages of the releases without aggregators.
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 enum LegacyMessage {
     Subscribe(LegacyRequest),
     Standing(LegacyStatus),
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 struct LegacyRequest {
     digest: u64,
     routes: Option<RouteSetVersion>,
@@ -24,7 +25,7 @@
     is_probe: bool,
 }
 
-#[derive(Serialize)]
+#[derive(Serialize, Deserialize)]
 struct LegacyStatus {
     is_current: bool,
     is_synced: bool,
@@ -56,4 +57,38 @@
     let payload = encode_compact(&LegacyMessage::Standing(status)).unwrap();
     let HubMessage::Status(status) = decode_payload(&payload).unwrap() else { panic!() };
     assert_eq!((status.followers, status.aggregators.len()), (9, 0));
+    assert_eq!((status.routes, status.poll_sent_at), (None, None));
+}
+
+/// Guards against messages that an earlier release cannot read while both run.
+#[test]
+fn messages_are_decoded_by_an_earlier_release() {
+    let status = HubStatus {
+        is_current: true,
+        is_synced: true,
+        digest: 7,
+        hubs: Vec::new(),
+        followers: 9,
+        aggregators: Vec::new(),
+        routes: Some(RouteSetVersion::new(3)),
+        poll_sent_at: Some(Timestamp::ZERO),
+    };
+    let frame = HubMessage::Status(status).into_frame().unwrap();
+    let LegacyMessage::Standing(status) = decode_payload(&frame.payload).unwrap() else { panic!() };
+    assert_eq!((status.is_current, status.followers), (true, 9));
+    let request = SubscribeRequest {
+        digest: 7,
+        routes: None,
+        is_new: true,
+        is_probe: false,
+        zone: None,
+        cores: CoreShare::default(),
+        aggregators: 1,
+        sent_at: Timestamp::ZERO,
+    };
+    let frame = HubMessage::Subscribe(request).into_frame().unwrap();
+    let LegacyMessage::Subscribe(request) = decode_payload(&frame.payload).unwrap() else {
+        panic!()
+    };
+    assert_eq!((request.digest, request.is_new), (7, true));
 }
