Count a target as cold whenever it reports a warm-up

Cause: the warm-up of the first report was kept for the life of a target; later ones were neither spread nor applied. While cold, a target cost 1.5 times what its answers showed. Targets that came back together looked idle to all instances at once and got the whole load of their service.

Change: a report whose warm-up ends more than 500 ms later than known is spread and applied. A cold target is expected at 1.5 times the usual latency until its answers show another. In the first second, a choice avoids returning targets so often that they get at most their part of the targets that answer.

No load with real programs was measured.

--- a/crates/figglade/src/controller/service_directory/reports.rs
+++ b/crates/figglade/src/controller/service_directory/reports.rs
@@ -17,6 +17,10 @@
 /// targets that report to it lapse; their reports may still arrive there.
 const UNREACHABLE_FACTOR: u32 = 2;
 
+/// How much later than known a warm-up has to end for its report to count as a change. Delays of the
+/// reports shift the end by less.
+const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
+
 /// How long a target stays lapsed before it is considered gone.
 const LAPSED_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -81,6 +85,8 @@
 struct LastReport {
     at: Timestamp,
     sequence: u64,
+    /// The end of the warm-up; in the past if the target is warm.
+    warm_until: Timestamp,
 }
 
 /// Tracks the reports that one control instance receives.
@@ -121,9 +127,13 @@
             held.incarnation > record.incarnation
                 || held.incarnation == record.incarnation && held.sequence > record.sequence
         });
+        let mut is_colder = false;
         if !is_late {
-            self.last_reports
-                .insert(report.id.clone(), LastReport { at: now, sequence: report.sequence });
+            let warm_until = now + Duration::from_millis(u64::from(report.warmup_ms));
+            let last = LastReport { at: now, sequence: report.sequence, warm_until };
+            let former = self.last_reports.insert(report.id.clone(), last);
+            let known_until = former.map_or(Timestamp::ZERO, |former| former.warm_until).max(now);
+            is_colder = warm_until > known_until + WARM_UP_TOLERANCE;
         }
         // The phase of a late report counts too: it may be the first to announce a drain.
         let is_changed = held.is_none_or(|held| {
@@ -132,6 +142,7 @@
                 || held.is_lapsed
                 || held.holder != record.holder
                 || held.address != record.address
+                || is_colder
         });
         let mut changed = if is_changed { directory.merge(record, now) } else { Vec::new() };
         let must_replicate =
@@ -189,7 +200,7 @@
             if self.is_overdue(&record, &is_reachable, now) {
                 let sequence = self.last_reports.get(&record.id).map_or(0, |last| last.sequence);
                 let sequence = record.sequence.max(sequence);
-                let marked = TargetRecord { is_lapsed: true, sequence, ..record };
+                let marked = TargetRecord { is_lapsed: true, sequence, warmup_ms: 0, ..record };
                 lapsed.extend(directory.merge(marked, now));
             }
         }
@@ -224,7 +235,11 @@
         if record.holder == self.own {
             // If this process has received no report yet, the lapse period starts now.
             let last = self.last_reports.entry(record.id.clone());
-            let last = last.or_insert(LastReport { at: now, sequence: record.sequence });
+            let last = last.or_insert(LastReport {
+                at: now,
+                sequence: record.sequence,
+                warm_until: Timestamp::ZERO,
+            });
             return now.since(last.at) > self.lapse_period;
         }
         if is_reachable(&record.holder) {
--- a/crates/figglade/src/filter/scatter/choice.rs
+++ b/crates/figglade/src/filter/scatter/choice.rs
@@ -40,6 +40,9 @@
 
 /// Returns the target with the best grade and, among these, the lowest expected cost. Targets for
 /// which `tried` returns true are left out.
+///
+/// Targets that have just become cold get at most their share of the requests: they look idle to every
+/// instance at once, while those that stayed have queues.
 pub fn choose_replica<'a>(
     replicas: &'a [Rc<ReplicaState>],
     tried: impl Fn(&ReplicaState) -> bool,
@@ -51,26 +54,43 @@
         ChoicePurpose::First | ChoicePurpose::Retry => ReplicaGrade::Lapsed,
         ChoicePurpose::Hedge => ReplicaGrade::Good,
     };
-    let mut best: Option<(ReplicaGrade, f64, &Rc<ReplicaState>)> = None;
-    for replica in replicas {
-        if !can_accept(replica, now) || tried(replica) {
-            continue;
-        }
+    let open = || replicas.iter().filter(|replica| can_accept(replica, now) && !tried(replica));
+    let avoids_returning = draw_avoids_returning(open(), now, rng);
+    let mut best: Option<(ReplicaGrade, bool, f64, &Rc<ReplicaState>)> = None;
+    for replica in open() {
         let grade = grade_replica(replica, now);
         if grade > worst {
             continue;
         }
+        let is_avoided = avoids_returning && replica.is_returning(now);
         let remote = if replica.spec.is_local { 0.0 } else { REMOTE_COST };
         let outside_subset = if replica.is_in_subset.get() { 0.0 } else { OUTSIDE_SUBSET_COST };
         let tie = rng.random_range(0.0..TIE_SPREAD);
         let cost = replica.expected_cost(now) + remote + outside_subset + tie;
-        let is_better =
-            best.is_none_or(|(best_grade, best_cost, _)| (grade, cost) < (best_grade, best_cost));
+        let is_better = best.is_none_or(|(best_grade, is_best_avoided, best_cost, _)| {
+            (grade, is_avoided, cost) < (best_grade, is_best_avoided, best_cost)
+        });
         if is_better {
-            best = Some((grade, cost, replica));
+            best = Some((grade, is_avoided, cost, replica));
         }
     }
-    best.map(|(_, _, replica)| replica)
+    best.map(|(_, _, _, replica)| replica)
+}
+
+/// Returns whether a choice avoids the returning targets: so often that they get at most their part of
+/// the targets that answer.
+fn draw_avoids_returning<'a>(
+    open: impl Iterator<Item = &'a Rc<ReplicaState>>,
+    now: Timestamp,
+    rng: &mut impl Rng,
+) -> bool {
+    let good = open.filter(|replica| grade_replica(replica, now) == ReplicaGrade::Good);
+    let (mut count, mut returning) = (0_u32, 0_u32);
+    for replica in good {
+        count += 1;
+        returning += u32::from(replica.is_returning(now));
+    }
+    0 < returning && returning < count && rng.random_range(0..count) >= returning
 }
 
 /// Returns whether some target could be sent an attempt but for its connection limit.
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -43,8 +43,11 @@
 /// The longest back-off that a target can request; longer ones are shortened to it.
 pub const MAX_BACKOFF: Duration = Duration::from_secs(300);
 
-/// The expected slowdown of a target during its warm-up.
-const WARM_UP_FACTOR: f64 = 1.5;
+/// The slowness that is expected of a cold target until its answers show another.
+const WARM_UP_SLOWNESS: f64 = 1.5;
+/// How long a target that has just become cold counts as returning. Within this time the answers
+/// show how slow it is.
+const RETURN_PERIOD: Duration = Duration::from_secs(1);
 /// The lower bound of the slowness, so that a target with a few fast answers does not attract all
 /// requests.
 const MIN_SLOWNESS: f64 = 0.7;
@@ -131,8 +134,8 @@
     pub is_usable: Cell<bool>,
     /// Whether the announcements of the target have lapsed.
     pub is_lapsed: Cell<bool>,
-    /// The end of the warm-up, during which the target is slow.
-    pub warm_up_until: Cell<Timestamp>,
+    /// The start and the end of the last warm-up.
+    warm_up: Cell<(Timestamp, Timestamp)>,
     next_id: Cell<u64>,
     open: RefCell<Vec<OpenAttempt>>,
     last_attempt: Cell<Option<Timestamp>>,
@@ -165,7 +168,7 @@
             ready_connections: Cell::new(0),
             is_usable: Cell::new(true),
             is_lapsed: Cell::new(false),
-            warm_up_until: Cell::default(),
+            warm_up: Cell::default(),
             next_id: Cell::new(0),
             open: RefCell::default(),
             last_attempt: Cell::new(None),
@@ -190,6 +193,37 @@
         }
     }
 
+    /// Records that the target is cold for `left`. If it was not cold before, the latencies of its
+    /// former answers say little of those to come.
+    pub fn begin_warm_up(&self, left: Duration, now: Timestamp) {
+        if left.is_zero() {
+            return;
+        }
+        let (since, until) = self.warm_up.get();
+        if self.is_cold(now) {
+            self.warm_up.set((since, until.max(now + left)));
+            return;
+        }
+        let decay = self.decay(now);
+        let slowed = |sample: f64| (1.0 + (sample - 1.0) * decay).max(WARM_UP_SLOWNESS);
+        self.samples.set(self.samples.get().map(slowed));
+        self.failure_rate.update(|rate| rate * decay);
+        self.refusal_rate.update(|rate| rate * decay);
+        self.updated_at.set(now);
+        self.warm_up.set((now, now + left));
+    }
+
+    /// Returns whether the target warms up.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.warm_up.get().1
+    }
+
+    /// Returns whether the target has become cold so recently that its answers do not show yet how
+    /// slow it is.
+    pub fn is_returning(&self, now: Timestamp) -> bool {
+        self.is_cold(now) && now.since(self.warm_up.get().0) < RETURN_PERIOD
+    }
+
     /// Records that the target asked to be sent nothing for `delay`, at most [`MAX_BACKOFF`]. A
     /// later end that is already known stays. Returns whether a back-off begins.
     pub fn record_backoff(&self, delay: Duration, now: Timestamp) -> bool {
@@ -335,10 +369,10 @@
     /// latency, with surcharges for failures and refusals.
     pub fn expected_cost(&self, now: Timestamp) -> f64 {
         let decay = self.decay(now);
-        let slowness = 1.0 + (self.slowness() - 1.0) * decay;
-        let warm_up = if now < self.warm_up_until.get() { WARM_UP_FACTOR } else { 1.0 };
+        let expected = self.expected_slowness(now);
+        let slowness = expected + (self.slowness() - expected) * decay;
         let queue = self.in_flight() as f64 / f64::from(self.spec.slots.max(1));
-        slowness.max(MIN_SLOWNESS) * warm_up * (1.0 + queue)
+        slowness.max(MIN_SLOWNESS) * (1.0 + queue)
             + FAILURE_COST * self.failure_rate.get() * decay
             + REFUSAL_COST * self.refusal_rate.get() * decay
     }
@@ -358,7 +392,8 @@
     /// and the failure rate with `failure`.
     fn update_estimates(&self, ratio: Option<f64>, failure: f64, now: Timestamp) {
         let decay = self.decay(now);
-        let mut samples = self.samples.get().map(|sample| 1.0 + (sample - 1.0) * decay);
+        let expected = self.expected_slowness(now);
+        let mut samples = self.samples.get().map(|sample| expected + (sample - expected) * decay);
         if let Some(ratio) = ratio {
             let last = &mut samples[SLOWNESS_SAMPLES - 1];
             if now.since(self.sampled_at.get()) < MIN_SAMPLE_INTERVAL {
@@ -376,6 +411,11 @@
         self.updated_at.set(now);
     }
 
+    /// Returns the slowness that is expected without samples.
+    fn expected_slowness(&self, now: Timestamp) -> f64 {
+        if self.is_cold(now) { WARM_UP_SLOWNESS } else { 1.0 }
+    }
+
     /// Returns the median of the samples.
     fn slowness(&self) -> f64 {
         let mut samples = self.samples.get();
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -109,7 +109,8 @@
             for record in records {
                 changed.extend(state.directory.merge(record, now));
             }
-            if state.directory.digest() != before {
+            let is_cold = changed.iter().any(|record| record.warmup_ms > 0);
+            if state.directory.digest() != before || is_cold {
                 state.has_unsaved_targets = true;
                 state.pending.for_followers.extend_from_slice(&changed);
             }
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -279,7 +279,8 @@
             let before = directory.digest();
             let outcome = reports.handle_report(report, directory, now);
             pending.for_hubs.extend_from_slice(&outcome.changed);
-            if directory.digest() != before {
+            let is_cold = outcome.changed.iter().any(|record| record.warmup_ms > 0);
+            if directory.digest() != before || is_cold {
                 pending.for_followers.extend_from_slice(&outcome.changed);
                 *has_unsaved_targets = true;
             }
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -230,7 +230,8 @@
             info!(self.log, "relay: a target changed"; "target" => %record.id,
                 "service" => %record.service, "phase" => %record.phase,
                 "address" => %record.address, "lapsed" => record.is_lapsed,
-                "incarnation" => %record.incarnation, "sequence" => record.sequence);
+                "incarnation" => %record.incarnation, "sequence" => record.sequence,
+                "warm_up_ms" => record.warmup_ms);
             self.apply_record(record, now);
         }
         if has_moved {
@@ -543,8 +544,10 @@
         if !record.is_usable() {
             return;
         }
+        let warm_up = Duration::from_millis(u64::from(record.warmup_ms));
         if let Some(held) = replicas.iter().find(|held| held.spec == spec) {
             held.is_lapsed.set(record.is_lapsed);
+            held.begin_warm_up(warm_up, now);
             return;
         }
         let replica = ReplicaState::new(spec, 1);
@@ -552,7 +555,7 @@
             replica.inherit_backoff(&former);
         }
         replica.is_lapsed.set(record.is_lapsed);
-        replica.warm_up_until.set(now + Duration::from_millis(u64::from(record.warmup_ms)));
+        replica.begin_warm_up(warm_up, now);
         replicas.push(Rc::new(replica));
         drop(replicas);
         self.divide_connections(&service);
