--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -21,6 +21,7 @@
         service_directory::{ServiceDirectory, TargetRecord},
     },
     filter::{
+        access::{RevocationRule, RouteProof},
         answer_buffers::BufferLimit,
         scatter::{
             AggregatorPicker, AnswerDelay, BudgetRules, HandoverState, InstanceShare, ReplicaSpec,
@@ -66,6 +67,8 @@
     pub budget_slack: f64,
     /// The length of that window.
     pub budget_window: Duration,
+    /// Whether known keys are accepted while no hub proves that they have not been withdrawn.
+    pub revocation: RevocationRule,
     /// Whether the instance may have run before. The previous run may have spent extra attempts, so
     /// the slack is granted only after the first window.
     pub may_have_run_before: bool,
@@ -99,6 +102,10 @@
     aggregators: RefCell<AggregatorPicker>,
     census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
+    /// The time that the last proof of being current holds for.
+    proved_at: Cell<Option<Timestamp>>,
+    /// The newest route set that a hub said to know.
+    announced_routes: Cell<Option<RouteSetVersion>>,
     /// The planned stop in progress.
     shutdown: Cell<Option<ShutdownPlan>>,
 }
@@ -148,6 +155,8 @@
             aggregators: RefCell::new(picker),
             census: RefCell::default(),
             is_current: Cell::new(false),
+            proved_at: Cell::default(),
+            announced_routes: Cell::default(),
             shutdown: Cell::new(None),
         }
     }
@@ -231,7 +240,8 @@
             info!(self.log, "relay: a target changed"; "target" => %record.id,
                 "service" => %record.service, "phase" => %record.phase,
                 "address" => %record.address, "lapsed" => record.is_lapsed,
-                "incarnation" => %record.incarnation, "sequence" => record.sequence);
+                "incarnation" => %record.incarnation, "sequence" => record.sequence,
+                "warm_up_ms" => record.warmup_ms);
             self.apply_record(record, now);
         }
         if has_moved {
@@ -302,6 +312,22 @@
         }
     }
 
+    /// Records that a hub that reaches the control group knew no newer route set than `announced` at
+    /// `at`. This proves the route set in force if it is as new as each announced one.
+    pub fn record_route_proof(&self, announced: Option<RouteSetVersion>, at: Timestamp) {
+        self.announced_routes.update(|held| held.max(announced));
+        if self.route_version() >= self.announced_routes.get() {
+            self.proved_at.update(|held| held.max(Some(at)));
+        }
+    }
+
+    /// Returns how far it is proved that the route set in force is the newest.
+    pub(super) fn route_proof(&self, now: Timestamp) -> RouteProof {
+        let is_newest = self.route_version() >= self.announced_routes.get();
+        let is_current = self.is_current.get() && is_newest;
+        RouteProof::new(is_current, self.proved_at.get(), self.rules.revocation, now)
+    }
+
     /// Records that no hub proves any longer that the local route set is the newest.
     pub fn mark_outdated(&self) {
         self.set_current(false);
@@ -530,8 +556,10 @@
         if !record.is_usable() {
             return;
         }
+        let warm_up = Duration::from_millis(u64::from(record.warmup_ms));
         if let Some(held) = replicas.iter().find(|held| held.spec == spec) {
             held.is_lapsed.set(record.is_lapsed);
+            held.begin_warm_up(warm_up, now);
             return;
         }
         let replica = ReplicaState::new(spec, 1);
@@ -539,7 +567,7 @@
             replica.inherit_backoff(&former);
         }
         replica.is_lapsed.set(record.is_lapsed);
-        replica.warm_up_until.set(now + Duration::from_millis(u64::from(record.warmup_ms)));
+        replica.begin_warm_up(warm_up, now);
         replicas.push(Rc::new(replica));
         drop(replicas);
         self.divide_connections(&service);
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use figglade::{
     Timestamp,
-    controller::route_set::{
-        CallerLimits, CustomerSpec, Destination, RouteSetVersion, RouteSpec, RouteTable,
-    },
+    controller::route_set::{CallerLimits, CustomerSpec, Destination, RouteSetVersion, RouteSpec},
     filter::{
         access::{AccessDecision, decide_access},
         caller_network::caller_network_time,
@@ -20,7 +18,7 @@
 use super::{
     answer::{TargetAnswer, merge_answers},
     edge::EdgeState,
-    forward::{CustomerHeader, ForwardEnd, ForwardOrder, write_head},
+    forward::{ForwardEnd, ForwardOrder, write_head},
     handover::{HandoverEnd, SearchHandover},
     overload::{AdmittedLoad, LoadClaim, LoadRefusal},
     quota::{QuotaClient, QuotaDecision},
@@ -170,13 +168,13 @@
         let spent = self.edge.profile_of(route).time_spent_before(wait);
         let network = caller_network_time(route.latency_goal, request.is_first);
         context.goal = (arrived + route.latency_goal) - spent - network;
-        let is_current = self.edge.is_current();
-        match decide_access(&table, route, caller.key.as_deref(), is_current) {
+        let proof = self.edge.route_proof(arrived);
+        match decide_access(&table, route, caller.key.as_deref(), proof) {
             AccessDecision::Granted(customer) => context.customer = customer,
-            AccessDecision::Denied => return self.finish(deny_key(), &context),
+            AccessDecision::Denied => return self.finish(self.deny_key(), &context),
             AccessDecision::Unproved => {
                 let response = self.refuse("the customers may be outdated");
-                return self.finish(RequestEnd::plain(response, "no_key_while_outdated"), &context);
+                return self.finish(RequestEnd::plain(response, "key_while_outdated"), &context);
             }
         }
         if let Some(refusal) = self.refuse_early(route, &context) {
@@ -196,12 +194,12 @@
         let _work = self.edge.overload.start_work(work);
         let limited = context.customer.filter(|held| held.quota.is_some() && !route.is_public);
         let Some(customer) = limited else {
-            let end = self.serve(request, route, &table, &context).await;
+            let end = self.serve(request, route, &context).await;
             return self.finish(end, &context);
         };
         let end = match self.quota.take(&customer.name, table.set().version).await {
             QuotaDecision::Admit(token) => {
-                let end = self.serve(request, route, &table, &context).await;
+                let end = self.serve(request, route, &context).await;
                 if let Some(token) = token.filter(|_| end.is_unsent()) {
                     self.quota.give_back(&customer.name, token);
                 }
@@ -262,14 +260,9 @@
         &self,
         request: HttpRequest,
         route: &RouteSpec,
-        table: &RouteTable,
         context: &RequestContext<'_>,
     ) -> RequestEnd {
-        let customer = if table.has_customers() {
-            CustomerHeader::Replaced(context.customer.map(|customer| &customer.name))
-        } else {
-            CustomerHeader::Forwarded
-        };
+        let customer = context.customer.map(|customer| &customer.name);
         let arrived = context.arrived;
         let order = ForwardOrder {
             head: write_head(&request, &self.edge.names, customer),
@@ -310,6 +303,13 @@
         }
     }
 
+    /// Answers a request whose key no customer holds, and names the header for the key.
+    fn deny_key(&self) -> RequestEnd {
+        let response = HttpResponse::text(401, "no customer holds the key of the request")
+            .with(text_field("www-authenticate", self.edge.names.caller_key));
+        RequestEnd::plain(response, "key_denied")
+    }
+
     fn has_capacity(&self, priority: u32) -> bool {
         let share = PRIORITY_SHARES[(priority as usize).min(PRIORITY_SHARES.len() - 1)];
         (self.active.get() as f64) < MAX_ACTIVE_REQUESTS as f64 * share
@@ -449,12 +449,6 @@
     HttpResponse::text(503, reason).with(text_field("retry-after", seconds))
 }
 
-/// Answers a request whose key no customer holds.
-fn deny_key() -> RequestEnd {
-    let response = HttpResponse::text(401, "no customer holds the key of the request");
-    RequestEnd::plain(response, "key_denied")
-}
-
 /// Refuses a request of a customer whose quota is used up for `wait`.
 fn refuse_over_quota(wait: Duration) -> RequestEnd {
     let response = HttpResponse::text(429, "the quota of the customer is used up");
