Decide evacuations of zones in the library

Operators need to take a whole zone out of use, and the order must survive restarts and be the same at every process. Neither the ledger nor the choice of targets knows zones that are evacuated.

controller::evacuation holds the evacuated zones with a revision, the check of a zone against the settings, and the gate that keeps an instance from serving before it knows them. LedgerCommand::SetEvacuation changes them; commands and states are encoded with the lowest version that supports them. A target of an evacuated zone is not open, so that first attempts, retries, hedges and the check of reachable services leave it out. The test of a newer state sets its version itself, as a default state now has an earlier one.

Without the check in takes_requests two tests of evacuation fail; without the field in the state one fails.

--- a/crates/figglade/src/controller/ledger/command.rs
+++ b/crates/figglade/src/controller/ledger/command.rs
@@ -8,14 +8,19 @@
     Incarnation, InstanceId, RequestId, WallTime,
     border::{ActionRecord, BodyDigest, ClaimRequest},
     controller::{
-        fleet::FleetDocument, ledger::ManifestReport, route_set::RoutePut, share::HolderSet,
+        evacuation::EvacuationOrder, fleet::FleetDocument, ledger::ManifestReport,
+        route_set::RoutePut, share::HolderSet,
     },
     peer::{CodecError, decode_payload, encode_payload},
 };
 
-/// The version of the commands. It must be raised whenever a release adds a command or changes the
-/// effect of one, so that a member with an older release stops instead of computing another state.
-pub const COMMAND_VERSION: u16 = 2;
+/// The highest version of the commands. It must be raised whenever a release adds a command or
+/// changes the effect of one, so that a member with an older release stops instead of computing
+/// another state. A command is encoded with the lowest version that supports it, so that members of
+/// an earlier release still apply all others.
+pub const COMMAND_VERSION: u16 = 3;
+/// The version of the commands that precede [`LedgerCommand::SetEvacuation`].
+const BASE_COMMAND_VERSION: u16 = 2;
 /// The maximum size of an encoded command, in bytes.
 pub const MAX_COMMAND_BYTES: usize = 768 * 1024;
 /// The maximum difference between the wall times of a command and the leader, in milliseconds.
@@ -40,6 +45,8 @@
     SetHolders(HolderSet),
     /// Replaces the route set with a newer one.
     PutRoutes(RoutePut),
+    /// Starts or finishes the evacuation of a zone.
+    SetEvacuation(EvacuationOrder),
 }
 
 /// A configuration change by an operator.
@@ -99,7 +106,7 @@
 /// A command as it is stored in the log.
 #[derive(Serialize, Deserialize)]
 struct CommandEnvelope {
-    /// The [`COMMAND_VERSION`] of the release that encoded the command.
+    /// The lowest version that supports the command.
     version: u16,
     /// The encoded command.
     command: Bytes,
@@ -135,7 +142,7 @@
     /// Fails when the command is larger than [`MAX_COMMAND_BYTES`].
     pub fn encode(&self) -> Result<Bytes, CommandError> {
         let command = encode_payload(self)?;
-        let bytes = encode_payload(&CommandEnvelope { version: COMMAND_VERSION, command })?;
+        let bytes = encode_payload(&CommandEnvelope { version: self.version(), command })?;
         check_length(bytes.len())?;
         Ok(bytes)
     }
@@ -155,6 +162,21 @@
         Ok(decode_payload(&envelope.command)?)
     }
 
+    /// Returns the lowest version that supports the command.
+    const fn version(&self) -> u16 {
+        match self {
+            Self::PutConfig(_)
+            | Self::BeginClaim(_)
+            | Self::FinishClaim(_)
+            | Self::RefuseClaim(_)
+            | Self::AbandonClaims(_)
+            | Self::RecordManifests(_)
+            | Self::SetHolders(_)
+            | Self::PutRoutes(_) => BASE_COMMAND_VERSION,
+            Self::SetEvacuation(_) => COMMAND_VERSION,
+        }
+    }
+
     /// Returns the wall time of the command, if it advances the clock of the ledger.
     pub const fn wall(&self) -> Option<WallTime> {
         match self {
@@ -163,9 +185,12 @@
             Self::FinishClaim(finish) => Some(finish.wall),
             Self::RefuseClaim(refusal) => Some(refusal.wall),
             Self::AbandonClaims(abandon) => Some(abandon.wall),
-            // None of these depends on wall time. A route set must be accepted even if clocks step
-            // while operators work.
-            Self::RecordManifests(_) | Self::SetHolders(_) | Self::PutRoutes(_) => None,
+            // None of these depends on wall time. A route set or an evacuation must be accepted
+            // even if clocks step while operators work.
+            Self::RecordManifests(_)
+            | Self::SetHolders(_)
+            | Self::PutRoutes(_)
+            | Self::SetEvacuation(_) => None,
         }
     }
 
--- a/crates/figglade/src/controller/ledger/mod.rs
+++ b/crates/figglade/src/controller/ledger/mod.rs
@@ -1,5 +1,5 @@
 //! The replicated state machine that applies the quorum log: configuration, claims, manifests,
-//! share holders and route sets.
+//! share holders, route sets and evacuated zones.
 //!
 //! Every member applies the same commands in the same order and must reach the same state. The code
 //! is therefore deterministic: it reads no clock, generates no random numbers and does not depend
@@ -22,6 +22,7 @@
 use crate::{
     RequestId, WallTime,
     controller::{
+        evacuation::{EvacuationReply, EvacuationSet},
         fleet::FleetConfig,
         quorum::LogIndex,
         route_set::{CurrentRouteSet, RouteDocument, RouteReply},
@@ -54,8 +55,12 @@
     },
 };
 
-/// The version of the encoded state. It must be raised whenever the meaning of the state changes.
-pub const STATE_VERSION: u16 = 2;
+/// The highest version of the encoded state. It must be raised whenever the meaning of the state
+/// changes. A state is encoded with the lowest version that supports it, so that members of an
+/// earlier release still decode a state without anything newer.
+pub const STATE_VERSION: u16 = 3;
+/// The version of a state without evacuations.
+const BASE_STATE_VERSION: u16 = 2;
 /// The maximum number of instances in a holder set.
 pub const MAX_HOLDERS: usize = 10_000;
 
@@ -84,6 +89,8 @@
     },
     /// The reply to a route set.
     Routes(RouteReply),
+    /// The reply to the start or finish of an evacuation.
+    Evacuation(EvacuationReply),
 }
 
 /// The reason the ledger stopped. A member whose ledger stopped must not participate further,
@@ -154,6 +161,9 @@
     /// The route set.
     #[serde(default)]
     routes: CurrentRouteSet,
+    /// The evacuated zones.
+    #[serde(default, skip_serializing_if = "EvacuationSet::is_unused")]
+    evacuations: EvacuationSet,
     /// The index of the command that stopped the ledger, if one did.
     #[serde(skip)]
     stopped: Option<LogIndex>,
@@ -203,6 +213,9 @@
             }
             LedgerCommand::SetHolders(holders) => self.set_holders(holders),
             LedgerCommand::PutRoutes(put) => LedgerReply::Routes(self.routes.put(put.document)),
+            LedgerCommand::SetEvacuation(order) => {
+                LedgerReply::Evacuation(self.evacuations.apply(order))
+            }
         }
     }
 
@@ -231,7 +244,8 @@
     ///
     /// Fails when the codec cannot encode a value.
     pub fn encode_state(&self) -> Result<Bytes, StateError> {
-        let mut state = STATE_VERSION.to_be_bytes().to_vec();
+        let version = if self.evacuations.is_unused() { BASE_STATE_VERSION } else { STATE_VERSION };
+        let mut state = version.to_be_bytes().to_vec();
         rmp_serde::encode::write_named(&mut state, self).map_err(StateError::from_codec)?;
         Ok(Bytes::from(state))
     }
@@ -283,6 +297,11 @@
         self.routes.current()
     }
 
+    /// Returns the evacuated zones.
+    pub const fn evacuations(&self) -> &EvacuationSet {
+        &self.evacuations
+    }
+
     /// Returns the status of the claim of a request.
     pub fn claim_status(&self, request: RequestId) -> Option<&ClaimStatus> {
         self.claims.status(request)
--- a/crates/figglade/src/controller/mod.rs
+++ b/crates/figglade/src/controller/mod.rs
@@ -3,6 +3,7 @@
 pub mod aggregators;
 pub mod census;
 pub mod directory;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod group_keeper;
--- a/crates/figglade/src/filter/scatter/load.rs
+++ b/crates/figglade/src/filter/scatter/load.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use crate::{Incarnation, TargetId, Timestamp};
+use crate::{Incarnation, TargetId, Timestamp, ZoneName, controller::evacuation::EvacuationSet};
 
 /// The number of samples whose median is the slowness of a target. A single pause, which yields one
 /// sample, does not change the median; three slow samples do.
@@ -131,6 +131,10 @@
     pub is_usable: Cell<bool>,
     /// Whether the announcements of the target have lapsed.
     pub is_lapsed: Cell<bool>,
+    /// Whether the availability zone of the target is evacuated; no attempt is sent to it then.
+    pub is_evacuated: Cell<bool>,
+    /// The availability zone of the target, once known.
+    zone: RefCell<Option<ZoneName>>,
     /// The end of the warm-up, during which the target is slow.
     pub warm_up_until: Cell<Timestamp>,
     next_id: Cell<u64>,
@@ -165,6 +169,8 @@
             ready_connections: Cell::new(0),
             is_usable: Cell::new(true),
             is_lapsed: Cell::new(false),
+            is_evacuated: Cell::new(false),
+            zone: RefCell::default(),
             warm_up_until: Cell::default(),
             next_id: Cell::new(0),
             open: RefCell::default(),
@@ -183,6 +189,20 @@
         }
     }
 
+    /// Sets the availability zone of the target and whether it is evacuated.
+    pub fn place_in(&self, zone: &ZoneName, evacuations: &EvacuationSet) {
+        *self.zone.borrow_mut() = Some(zone.clone());
+        self.update_evacuation(evacuations);
+    }
+
+    /// Updates whether the availability zone of the target is evacuated, and returns whether that
+    /// changed.
+    pub fn update_evacuation(&self, evacuations: &EvacuationSet) -> bool {
+        let is_evacuated =
+            self.zone.borrow().as_ref().is_some_and(|zone| evacuations.contains(zone));
+        self.is_evacuated.replace(is_evacuated) != is_evacuated
+    }
+
     /// Adopts the back-off that the same start of the target requested before its properties changed.
     pub fn inherit_backoff(&self, former: &Self) {
         if self.spec.id == former.spec.id && self.spec.incarnation == former.spec.incarnation {
@@ -205,15 +225,20 @@
     }
 
     /// Returns whether an attempt may be sent to the target once a connection is free: it takes new
-    /// requests, is not ejected and has not asked for a back-off.
+    /// requests, its zone is not evacuated, it is not ejected and has not asked for a back-off.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        self.is_usable.get() && !self.is_ejected(now) && !self.is_backing_off(now)
+        self.takes_requests() && !self.is_ejected(now) && !self.is_backing_off(now)
+    }
+
+    /// Returns whether the target takes new requests and its zone is not evacuated.
+    pub const fn takes_requests(&self) -> bool {
+        self.is_usable.get() && !self.is_evacuated.get()
     }
 
     /// Returns the earliest time at which [`Self::is_open`] can hold, or `None` for a target that
-    /// takes no new requests any more.
+    /// takes no new requests, or none until the evacuation of its zone is finished.
     pub fn opens_at(&self) -> Option<Timestamp> {
-        self.is_usable.get().then(|| self.backoff_until.get().max(self.ejected_until.get()))
+        self.takes_requests().then(|| self.backoff_until.get().max(self.ejected_until.get()))
     }
 
     /// Registers an attempt that is expected to take `typical_latency`. The target counts as stalled
--- a/crates/figglade/tests/ledger_machine.rs
+++ b/crates/figglade/tests/ledger_machine.rs
@@ -85,7 +85,7 @@
 #[test]
 fn state_of_a_newer_release_is_refused() {
     let mut newer = Ledger::default().encode_state().unwrap().to_vec();
-    newer[1] += 1;
+    newer[..2].copy_from_slice(&(STATE_VERSION + 1).to_be_bytes());
     let error = Ledger::decode_state(&newer).unwrap_err();
     assert_eq!(error, StateError::TooNew { version: STATE_VERSION + 1 });
     let state = Ledger::default().encode_state().unwrap();
