Serve orders to evacuate a zone and put them in force at instances

The library decides evacuations; hubs do not accept the orders yet, and instances do not hear of them.

A hub proposes an order once, and acknowledges it when a group that tolerates the configured losses has committed it. Hubs push the set on commit and compare revisions in polls and greetings. An instance marks its targets, closes free connections to them, leaves the zones out of the coverage, and serves only once a current hub has confirmed the set, after a start and after a suspension. Hubs confirm after a quorum read.

--- a/crates/figgladed/src/control/group.rs
+++ b/crates/figgladed/src/control/group.rs
@@ -253,5 +253,8 @@
             handle.ask(|reply| MemberInput::ChangeMember { request, reply }).await
         }
         ControlRequest::ReadRoutes => handle.ask(|reply| MemberInput::ReadRoutes { reply }).await,
+        ControlRequest::ReadEvacuations => {
+            handle.ask(|reply| MemberInput::ReadEvacuations { reply }).await
+        }
     }
 }
--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -11,6 +11,7 @@
     InstanceId,
     border::{LogStore, LogStoreError, PeerLink},
     controller::{
+        evacuation::EvacuationSet,
         event::EventKind,
         ledger::{ConfigChange, Ledger},
         quorum::{MemberSet, QuorumMessage, QuorumNode, QuorumSettings, QuorumStatus},
@@ -66,6 +67,11 @@
         /// Receives the reply.
         reply: oneshot::Sender<ControlReply>,
     },
+    /// Reads the evacuated zones in force.
+    ReadEvacuations {
+        /// Receives the reply.
+        reply: oneshot::Sender<ControlReply>,
+    },
     /// Transfers the leadership to another member, if this one leads.
     TransferLeadership,
     /// Stops the thread.
@@ -83,6 +89,8 @@
     pub claims: usize,
     /// The newest route set that this member knows to be committed.
     pub routes: Option<Arc<RouteDocument>>,
+    /// The evacuated zones that this member knows to be committed.
+    pub evacuations: Arc<EvacuationSet>,
     /// Why the member stopped taking part in the group, if it did.
     pub failure: Option<String>,
 }
@@ -115,13 +123,13 @@
     /// Reopens the log after a disk failure; without it the member stops for good.
     pub reopen: Option<StoreOpener>,
     /// The number of members that may be lost at once without losing acknowledged changes. A route
-    /// set is refused while the group cannot tolerate that.
+    /// set or an evacuation is refused while the group cannot tolerate that.
     pub tolerated_losses: usize,
     /// The links to other members.
     pub link: Arc<dyn PeerLink>,
     /// The clocks.
     pub clock: ProcessClock,
-    /// Called when the configuration, the manifests or the route set changed.
+    /// Called when the configuration, the manifests, the route set or the evacuated zones changed.
     pub on_change: Box<dyn Fn() + Send>,
     /// Records an event on the time line.
     pub record_event: Box<dyn Fn(EventKind, String) + Send>,
--- a/crates/figgladed/src/control/member_driver.rs
+++ b/crates/figgladed/src/control/member_driver.rs
@@ -56,6 +56,8 @@
     Renewal { request: RenewRequest, reply: oneshot::Sender<ControlReply> },
     /// A read of the newest route set.
     Routes { reply: oneshot::Sender<ControlReply> },
+    /// A read of the evacuated zones in force.
+    Evacuations { reply: oneshot::Sender<ControlReply> },
 }
 
 /// The reason the member stops taking part in the group.
@@ -209,6 +211,9 @@
             MemberInput::ReadRoutes { reply } => {
                 self.begin_read(PendingRead::Routes { reply }, now)
             }
+            MemberInput::ReadEvacuations { reply } => {
+                self.begin_read(PendingRead::Evacuations { reply }, now)
+            }
             MemberInput::ChangeMember { request, reply } => self.change_member(request, reply, now),
             MemberInput::TransferLeadership => match self.node.transfer_leadership(None, now) {
                 Ok(actions) => self.run_actions(actions),
@@ -261,7 +266,8 @@
     fn check_command(&self, command: &Bytes) -> Result<(), String> {
         let decoded = LedgerCommand::decode(command).map_err(|error| error.to_string())?;
         let is_first = self.ledger.routes().is_none();
-        if matches!(decoded, LedgerCommand::PutRoutes(_))
+        // What an operator orders is acknowledged only once it survives the losses.
+        if matches!(decoded, LedgerCommand::PutRoutes(_) | LedgerCommand::SetEvacuation(_))
             && !tolerates_losses(&self.node.status(), self.parts.tolerated_losses, is_first)
         {
             return Err(
@@ -421,6 +427,10 @@
                 answer(reply, ControlReply::Routes(self.ledger.routes().cloned()));
                 Ok(())
             }
+            Some(PendingRead::Evacuations { reply }) => {
+                answer(reply, ControlReply::Evacuations(self.ledger.evacuations().clone()));
+                Ok(())
+            }
             None => Ok(()),
         }
     }
@@ -485,6 +495,11 @@
         if held != self.ledger.routes().map(|routes| routes.version) {
             view.routes = self.ledger.routes().cloned().map(Arc::new);
         }
+        let has_new_evacuations =
+            view.evacuations.revision() != self.ledger.evacuations().revision();
+        if has_new_evacuations {
+            view.evacuations = Arc::new(self.ledger.evacuations().clone());
+        }
         let shown = view.history.last().map(|change| change.version);
         if shown.unwrap_or_default() != self.ledger.config().version {
             let latest = self.ledger.history().rev().take(MAX_HISTORY_CHANGES).cloned();
@@ -493,7 +508,7 @@
         }
         let has_new_routes = held != view.routes.as_ref().map(|routes| routes.version);
         drop(view);
-        if has_new_routes {
+        if has_new_routes || has_new_evacuations {
             (self.parts.on_change)();
         }
     }
@@ -506,7 +521,9 @@
 impl PendingRead {
     fn into_reply(self) -> oneshot::Sender<ControlReply> {
         match self {
-            Self::Renewal { reply, .. } | Self::Routes { reply } => reply,
+            Self::Renewal { reply, .. } | Self::Routes { reply } | Self::Evacuations { reply } => {
+                reply
+            }
         }
     }
 }
--- a/crates/figgladed/src/control/message.rs
+++ b/crates/figgladed/src/control/message.rs
@@ -6,6 +6,7 @@
 use figglade::{
     ConfigVersion, InstanceId,
     controller::{
+        evacuation::EvacuationSet,
         fleet::FleetConfig,
         ledger::{LedgerReply, ManifestRevision, ManifestUpdates},
         quorum::{LogIndex, StorageId},
@@ -29,6 +30,8 @@
     ChangeMember(MemberRequest),
     /// Asks for the route set that a majority confirms to be the newest.
     ReadRoutes,
+    /// Asks for the evacuated zones that a majority confirms to be in force.
+    ReadEvacuations,
 }
 
 /// The state that the requesting instance already holds.
@@ -104,6 +107,8 @@
     },
     /// The command may have entered the log, and whether it will be committed is unknown.
     Undecided,
+    /// The evacuated zones.
+    Evacuations(EvacuationSet),
 }
 
 /// What changed since the state that the instance holds.
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -25,7 +25,8 @@
 
 /// The time between two polls while the followed hub is current.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
-/// The time between two polls while no current hub is followed.
+/// The time between two polls while no current hub is followed, or none has confirmed the evacuated
+/// zones.
 const SEARCH_POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// How long the target digests may differ before the follower sends its targets. The hub sends its
 /// own targets sooner, but that does not help if the hub is the side with missing targets.
@@ -89,6 +90,7 @@
 
     /// Polls the followed hub and probes others if needed; returns the time to the next poll.
     fn poll(&self) -> Duration {
+        self.edge.record_poll();
         let now = self.clock.now();
         let chosen = self.chooser.borrow_mut().choose(now);
         let Some((hub, is_new)) = chosen else { return SEARCH_POLL_INTERVAL };
@@ -103,6 +105,8 @@
             zone: Some(self.edge.zone().clone()),
             cores: self.edge.cores(),
             aggregators: self.edge.aggregators().borrow().digest(),
+            evacuations: self.edge.evacuation_revision(),
+            poll: self.edge.last_poll(),
         };
         let others = self.chooser.borrow_mut().probe_others(now);
         for other in others {
@@ -110,12 +114,11 @@
             self.send(other, HubMessage::Subscribe(request));
         }
         self.send(hub, HubMessage::Subscribe(request));
-        if self.chooser.borrow().is_current(now) {
-            POLL_INTERVAL
-        } else {
+        if !self.chooser.borrow().is_current(now) {
             self.edge.mark_outdated();
-            SEARCH_POLL_INTERVAL
+            return SEARCH_POLL_INTERVAL;
         }
+        if self.edge.knows_evacuations() { POLL_INTERVAL } else { SEARCH_POLL_INTERVAL }
     }
 
     /// Reports targets that said that they are leaving to the followed hub, which spreads them. If
@@ -135,6 +138,7 @@
                 self.edge.apply_records(records);
             }
             HubMessage::Routes(document) => self.handle_routes(&document),
+            HubMessage::Evacuations(evacuations) => self.edge.apply_evacuations(&evacuations),
             HubMessage::Subscribe(_) | HubMessage::Greeting(_) => {}
         }
     }
@@ -142,6 +146,9 @@
     fn handle_status(&self, from: SocketAddr, status: HubStatus) {
         let now = self.clock.now();
         let is_usable = status.is_current && status.is_synced;
+        if status.is_current && !status.is_unconfirmed {
+            self.edge.confirm_evacuations(status.evacuations, status.poll);
+        }
         let is_current = {
             let mut chooser = self.chooser.borrow_mut();
             chooser.update_hubs(status.hubs.into_iter());
--- a/crates/figgladed/src/hub/message.rs
+++ b/crates/figgladed/src/hub/message.rs
@@ -6,6 +6,7 @@
     CoreShare, InstanceId, ZoneName,
     controller::{
         aggregators::{AggregatorAddress, ZoneMembers},
+        evacuation::{EvacuationRevision, EvacuationSet},
         group_keeper::JoinRequest,
         hub_chooser::HubAddress,
         route_set::{RouteDocument, RouteSetVersion},
@@ -29,6 +30,8 @@
     Routes(RouteDocument),
     /// A hub reports its state to another hub, periodically.
     Greeting(Box<HubGreeting>),
+    /// The committed set of evacuated zones.
+    Evacuations(EvacuationSet),
 }
 
 /// The poll of a follower, with the state that it holds.
@@ -53,6 +56,12 @@
     /// The digest of the aggregators known to it.
     #[serde(default)]
     pub aggregators: u64,
+    /// The revision of its evacuated zones.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// The number of the poll, which the answer repeats.
+    #[serde(default)]
+    pub poll: u64,
 }
 
 /// The status of a hub.
@@ -71,6 +80,15 @@
     /// The aggregators; empty if the follower's digest of them matches.
     #[serde(default)]
     pub aggregators: Vec<AggregatorAddress>,
+    /// The revision of the evacuated zones known to it.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// Whether it has not read the evacuated zones since its start; its revision then proves nothing.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
+    /// The number of the poll that this answers.
+    #[serde(default)]
+    pub poll: u64,
 }
 
 /// The state that a hub reports to the other hubs.
@@ -102,6 +120,12 @@
     /// The instances that follow it, by zone.
     #[serde(default)]
     pub members: Vec<ZoneMembers>,
+    /// The revision of its evacuated zones.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// Whether it has not read the evacuated zones since its start.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
 }
 
 impl HubMessage {
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -23,6 +23,7 @@
             HubMessage::Subscribe(request) => self.handle_subscribe(from.address, &request),
             HubMessage::Records(records) => self.handle_records(from.address, records),
             HubMessage::Routes(routes) => self.handle_routes(routes),
+            HubMessage::Evacuations(evacuations) => self.handle_evacuations(&evacuations),
             HubMessage::Greeting(greeting) => self.handle_greeting(from.address, *greeting),
             HubMessage::Status(_) => {}
         }
@@ -35,6 +36,9 @@
     fn handle_subscribe(&self, from: SocketAddr, request: &SubscribeRequest) {
         let now = self.now();
         let routes = self.routes();
+        // They precede the route set: an instance that has just started must not use the targets of
+        // an evacuated zone.
+        self.send_newer_evacuations(from, request.evacuations);
         let mut state = self.state.borrow_mut();
         let digest = state.directory.digest();
         let is_behind = routes.as_ref().map(|routes| routes.version) > request.routes;
@@ -42,7 +46,7 @@
             if let Some(routes) = routes.filter(|_| is_behind) {
                 self.send(from, HubMessage::Routes(routes.as_ref().clone()));
             }
-            let status = self.build_status(&state, true, request.aggregators, now);
+            let status = self.build_status(&state, true, request, now);
             return self.send(from, HubMessage::Status(status));
         }
         let known_hubs = state.peers.addresses().filter(|hub| hub.zone.is_some()).count();
@@ -63,7 +67,7 @@
         if follower.watch.compare(digest, request.digest, request.is_new, now) {
             self.send(from, HubMessage::Records(state.directory.records().cloned().collect()));
         }
-        let status = self.build_status(&state, includes_hubs, request.aggregators, now);
+        let status = self.build_status(&state, includes_hubs, request, now);
         self.send(from, HubMessage::Status(status));
     }
 
@@ -71,7 +75,7 @@
         &self,
         state: &HubState,
         includes_hubs: bool,
-        known_aggregators: u64,
+        request: &SubscribeRequest,
         now: Timestamp,
     ) -> HubStatus {
         let mut hubs = Vec::new();
@@ -80,7 +84,7 @@
             hubs.push(HubAddress { peer: self.parts.peer, zone: Some(self.parts.zone.clone()) });
         }
         let mut aggregators = state.aggregators.clone();
-        if digest_aggregators(&aggregators) == known_aggregators {
+        if digest_aggregators(&aggregators) == request.aggregators {
             aggregators.clear();
         }
         HubStatus {
@@ -90,6 +94,9 @@
             digest: state.directory.digest(),
             hubs,
             followers: self.count_followers(state, now),
+            evacuations: state.zones.held().revision(),
+            is_unconfirmed: !self.has_confirmed_evacuations(state, now),
+            poll: request.poll,
         }
     }
 
@@ -133,6 +140,9 @@
     fn handle_greeting(&self, from: SocketAddr, greeting: HubGreeting) {
         let now = self.now();
         let routes = self.routes();
+        if !greeting.has_disk {
+            self.send_newer_evacuations(from, greeting.evacuations);
+        }
         let mut state = self.state.borrow_mut();
         if let Some(join) = &greeting.join {
             self.parts.group.update_members(std::iter::once((join.id.clone(), join.peer)));
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -1,11 +1,12 @@
 //! The state and the periodic tasks of a hub.
 
+mod evacuation;
 mod inputs;
 mod replication;
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, OnceLock},
@@ -21,6 +22,7 @@
             AggregatorAddress, AggregatorCandidate, ZoneMembers, choose_aggregators,
             summarize_members,
         },
+        evacuation::EvacuationError,
         group_keeper::{GroupKeeper, JoinRequest, SeedKind},
         ledger::{LedgerCommand, LedgerReply},
         quorum::{MemberChange, StorageId},
@@ -33,6 +35,7 @@
 use slog::{Logger, info, warn};
 use tokio::{sync::mpsc, task::spawn_local, time::interval};
 
+use self::evacuation::ZoneState;
 use super::{
     frames::HubInput,
     message::{HubGreeting, HubMessage},
@@ -50,6 +53,8 @@
 
 /// The time between two runs of the periodic tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// The ticks between two attempts to read the evacuated zones after the start.
+const CONFIRM_INTERVAL_TICKS: u64 = 2;
 /// The ticks between two greetings.
 const GREETING_INTERVAL_TICKS: u64 = 7;
 /// The ticks between two checks for targets that are not yet written to the disk.
@@ -93,6 +98,15 @@
         /// The reason.
         reason: String,
     },
+    /// An order for a zone was rejected.
+    #[display("{_0}")]
+    BadZone(EvacuationError),
+    /// The control group did not confirm an order for a zone.
+    #[display("the control group did not confirm the order: {reason}")]
+    NotOrdered {
+        /// The reason.
+        reason: String,
+    },
 }
 
 /// The settings and dependencies of a hub.
@@ -105,6 +119,8 @@
     pub admin: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The availability zones of the settings; an empty set allows every zone to be evacuated.
+    pub zones: BTreeSet<ZoneName>,
     /// Whether it has a disk.
     pub has_disk: bool,
     /// The number of members that may be lost at once.
@@ -137,6 +153,8 @@
     aggregators: Vec<AggregatorAddress>,
     /// The newest route set received from another hub; the own member's view may be newer.
     received_routes: Option<Arc<RouteDocument>>,
+    /// The evacuated zones as far as this hub knows, and those of the settings.
+    zones: ZoneState,
     storage: Option<StorageId>,
     /// The changes to send with the next tick.
     pending: PendingUpdates,
@@ -172,6 +190,7 @@
             followers: BTreeMap::new(),
             aggregators: Vec::new(),
             received_routes: None,
+            zones: ZoneState::new(parts.zones.clone()),
             pending: PendingUpdates::default(),
             storage: None,
             is_synced: parts.is_first_start,
@@ -370,12 +389,14 @@
         let lapsed = state.directory.live().filter(|record| record.is_lapsed).count();
         let reachable = state.peers.live(now).count();
         let version = self.routes().map_or(0, |routes| routes.version.get());
+        let evacuated = state.zones.held().zones().len() as u64;
         let gauges = [
             ("targets", "Targets that are not gone.", live as u64),
             ("lapsed_targets", "Targets whose reports stopped.", lapsed as u64),
             ("followers", "Instances that follow this hub.", state.followers.len() as u64),
             ("heard_hubs", "Other hubs that are reachable.", reachable as u64),
             ("route_set_version", "The route set known to be committed.", version),
+            ("evacuated_zones", "Availability zones that are evacuated.", evacuated),
             (
                 "current",
                 "Whether the control group is reachable.",
@@ -407,6 +428,10 @@
         }
         self.send_pending();
         self.repair_group(now);
+        if ticks % CONFIRM_INTERVAL_TICKS == 1 {
+            self.refresh_evacuations();
+            self.confirm_evacuations();
+        }
         if ticks % WRITE_INTERVAL_TICKS == 3 && self.state.borrow().has_unsaved_targets {
             let node = Rc::clone(self);
             spawn_local(async move { node.write_targets().await });
@@ -480,6 +505,8 @@
             is_current: self.is_current(&state, now),
             hubs: state.peers.live(now).map(|(address, _)| address).collect(),
             members: self.summarize_followers(&state, now),
+            evacuations: state.zones.held().revision(),
+            is_unconfirmed: !self.has_confirmed_evacuations(&state, now),
         };
         let message = HubMessage::Greeting(Box::new(greeting));
         let Some(frame) = self.encode(message) else { return };
@@ -532,19 +559,19 @@
     }
 
     /// Returns whether the control group is reachable. With a disk, the member must work and know a
-    /// leader. Without one, a reachable hub with a disk must be current, and its route set must not
-    /// be newer than the own one.
+    /// leader. Without one, a reachable hub with a disk must be current, and neither its route set nor
+    /// its evacuated zones may be newer than the own ones.
     fn is_current(&self, state: &HubState, now: Timestamp) -> bool {
         if !self.parts.has_disk {
             let held = state.received_routes.as_ref().map(|routes| routes.version);
             return state.peers.live(now).any(|(_, greeting)| {
-                greeting.has_disk && greeting.is_current && greeting.routes <= held
+                greeting.has_disk
+                    && greeting.is_current
+                    && greeting.routes <= held
+                    && greeting.evacuations <= state.zones.held().revision()
             });
         }
-        let view = self.parts.member.get().map(MemberHandle::view);
-        view.is_some_and(|view| {
-            view.failure.is_none() && view.status.is_some_and(|status| status.leader.is_some())
-        })
+        self.knows_leader()
     }
 
     /// Returns the newest route set known to be committed.
--- a/crates/figgladed/src/hub/start.rs
+++ b/crates/figgladed/src/hub/start.rs
@@ -53,7 +53,7 @@
     pub clock: ProcessClock,
     /// The links to other processes.
     pub link: PeerHandle,
-    /// Notified when a route set is committed.
+    /// Notified when a route set or an evacuation is committed.
     pub routes_changed: Arc<Notify>,
     /// The log of the process.
     pub log: Logger,
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -79,6 +79,7 @@
         peer: settings.peer,
         admin: admin_address,
         zone: settings.zone.clone(),
+        zones: settings.zones.clone(),
         has_disk: settings.data.is_some(),
         tolerated_losses: settings.tolerated_losses,
         report_period: settings.report_period,
@@ -99,14 +100,18 @@
         serve_metrics(address, move || metrics_node.render_metrics(), &log).await;
     }
     let routes_changed = Arc::new(Notify::new());
-    spawn_local(broadcast_routes(Rc::clone(&node), Arc::clone(&routes_changed)));
+    spawn_local(broadcast_changes(Rc::clone(&node), Arc::clone(&routes_changed)));
     let running = Rc::new(std::cell::RefCell::new(None));
     if let Some(options) =
         member_options(&settings, clock, transport.handle(), routes_changed, &log)
     {
         spawn_local(run_member(options, Rc::clone(&node), member, Rc::clone(&running)));
     }
-    watch.wait_for_stop(reader.as_ref(), |settings| node.update_seeds(&settings.seeds)).await;
+    let update = |settings: &ProcessSettings| {
+        node.update_seeds(&settings.seeds);
+        node.update_zones(settings.zones.clone());
+    };
+    watch.wait_for_stop(reader.as_ref(), update).await;
     info!(log, "process: the hub stops");
     node.leave();
     sleep(STOP_DELAY).await;
@@ -165,9 +170,9 @@
     }
 }
 
-async fn broadcast_routes(node: Rc<HubNode>, changed: Arc<Notify>) {
+async fn broadcast_changes(node: Rc<HubNode>, changed: Arc<Notify>) {
     loop {
         changed.notified().await;
-        node.broadcast_routes();
+        node.broadcast_changes();
     }
 }
--- a/crates/figgladed/src/process/settings.rs
+++ b/crates/figgladed/src/process/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of the programs.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, time::Duration};
 
 use figglade::{InstanceId, ZoneName};
 
@@ -23,6 +23,8 @@
     pub id: InstanceId,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// All availability zones; empty if the settings do not list them.
+    pub zones: BTreeSet<ZoneName>,
     /// The address on which it listens for peers.
     pub peer: SocketAddr,
     /// The addresses on which hubs listen for peers, as known when the settings were written.
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -1,6 +1,8 @@
 //! The state of the data path: the route set in force, the services with their targets, and what
 //! has been observed of them.
 
+mod evacuation;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -15,6 +17,7 @@
     controller::{
         aggregators::AggregatorAddress,
         census::InstanceCensus,
+        evacuation::{EvacuationGate, EvacuationSet},
         route_set::{
             CallerLimits, Destination, RepeatRule, RouteSet, RouteSetVersion, RouteSpec, RouteTable,
         },
@@ -94,6 +97,9 @@
     /// The zones that have targets for the shards of each search route; computed on demand.
     coverages: RefCell<HashMap<String, Rc<ZoneCoverage>>>,
     aggregators: RefCell<AggregatorPicker>,
+    evacuations: RefCell<EvacuationSet>,
+    /// Decides whether the evacuated zones are known well enough to serve requests.
+    gate: RefCell<EvacuationGate>,
     census: RefCell<InstanceCensus>,
     is_current: Cell<bool>,
     /// The planned stop in progress.
@@ -141,6 +147,8 @@
             balances: RefCell::default(),
             coverages: RefCell::default(),
             aggregators: RefCell::new(picker),
+            evacuations: RefCell::default(),
+            gate: RefCell::default(),
             census: RefCell::default(),
             is_current: Cell::new(false),
             shutdown: Cell::new(None),
@@ -329,9 +337,9 @@
         routes.as_ref().map_or_else(CallerLimits::default, |table| table.set().limits)
     }
 
-    /// Returns the route table in force.
+    /// Returns the route table in force, or `None` as long as this instance may serve no request.
     pub(super) fn routes(&self) -> Option<Rc<RouteTable>> {
-        self.routes.borrow().clone()
+        self.routes.borrow().clone().filter(|_| self.knows_evacuations())
     }
 
     /// Returns the latency profile of a route.
@@ -353,7 +361,11 @@
         let Destination::Shards(plan) = &route.destination else { return Rc::default() };
         let directory = self.directory.borrow();
         let mut zones: HashMap<&ServiceName, Vec<&ZoneName>> = HashMap::new();
-        for record in directory.live().filter(|record| record.is_usable() && !record.is_lapsed) {
+        let evacuations = self.evacuations.borrow();
+        let is_open = |record: &&TargetRecord| {
+            record.is_usable() && !record.is_lapsed && !evacuations.contains(&record.zone)
+        };
+        for record in directory.live().filter(is_open) {
             zones.entry(&record.service).or_default().push(&record.zone);
         }
         let of_shard = |service| zones.get(service).cloned().unwrap_or_default();
@@ -472,7 +484,7 @@
     /// a service that the route set does not name removes nothing: it may be an odd entry of another
     /// writer.
     fn remove_moved_replicas(&self) {
-        let Some(table) = self.routes() else { return };
+        let Some(table) = self.routes.borrow().clone() else { return };
         let services: Vec<_> = self.services.borrow().values().cloned().collect();
         for service in services {
             let directory = self.directory.borrow();
@@ -523,6 +535,7 @@
         }
         if let Some(held) = replicas.iter().find(|held| held.spec == spec) {
             held.is_lapsed.set(record.is_lapsed);
+            held.place_in(&record.zone, &self.evacuations.borrow());
             return;
         }
         let replica = ReplicaState::new(spec, 1);
@@ -530,20 +543,23 @@
             replica.inherit_backoff(&former);
         }
         replica.is_lapsed.set(record.is_lapsed);
+        replica.place_in(&record.zone, &self.evacuations.borrow());
         replica.warm_up_until.set(now + Duration::from_millis(u64::from(record.warmup_ms)));
         replicas.push(Rc::new(replica));
         drop(replicas);
         self.divide_connections(&service);
     }
 
-    /// Divides the connections that the targets of the service accept among the instances.
+    /// Divides the connections that the targets of the service accept among the instances. The
+    /// targets of evacuated zones get none.
     fn divide_connections(&self, service: &ServiceState) {
         let replicas = service.replicas.borrow();
-        let specs: Vec<_> = replicas.iter().map(|replica| &replica.spec).collect();
+        let open: Vec<_> = replicas.iter().filter(|held| !held.is_evacuated.get()).collect();
+        let specs: Vec<_> = open.iter().map(|replica| &replica.spec).collect();
         let (max_connections, share) =
             (self.max_connections_of(&service.name), self.instance_share(&service.name));
         let plans = plan_connections(&self.rules.instance, &specs, max_connections, &share);
-        for (replica, plan) in replicas.iter().zip(plans) {
+        for (replica, plan) in open.into_iter().zip(plans) {
             replica.connection_limit.set(plan.limit);
             replica.is_in_subset.set(plan.is_in_subset);
             replica.ready_connections.set(plan.ready);
--- a/crates/figgladed/src/relay/handler.rs
+++ b/crates/figgladed/src/relay/handler.rs
@@ -128,7 +128,8 @@
         let caller = self.edge.names.read_caller(&request.head);
         let mut context = RequestContext::new(caller.request_id.as_ref(), arrived);
         let Some(table) = self.edge.routes() else {
-            let response = self.refuse_while_starting("no route set is known yet");
+            let response =
+                self.refuse_while_starting("the routes or the evacuated zones are not known yet");
             return self.finish(RequestEnd::plain(response, "no_routes"), &context);
         };
         context.version = Some(table.set().version);
@@ -387,8 +388,8 @@
     fn handle(&self, _request: HttpRequest) -> LocalFuture<'_, HttpResponse> {
         let response = if self.edge.is_stopping() {
             HttpResponse::text(503, "stopping")
-        } else if self.edge.route_version().is_none() {
-            HttpResponse::text(503, "no route set is known yet")
+        } else if self.edge.routes().is_none() {
+            HttpResponse::text(503, "the routes or the evacuated zones are not known yet")
         } else {
             HttpResponse::text(200, "ready")
         };
--- a/crates/figgladed/src/relay/metrics.rs
+++ b/crates/figgladed/src/relay/metrics.rs
@@ -42,6 +42,7 @@
     backoffs: Cell<u64>,
     open_connections: Cell<usize>,
     made_connections: Cell<u64>,
+    evacuated_zones: Cell<usize>,
 }
 
 impl RelayMetrics {
@@ -81,6 +82,10 @@
         self.made_connections.set(made);
     }
 
+    pub(super) fn record_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.set(zones);
+    }
+
     /// Writes the metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut out = String::new();
@@ -145,6 +150,12 @@
                 "Connections made to targets.",
                 self.made_connections.get(),
             ),
+            (
+                "evacuated_zones",
+                "gauge",
+                "Availability zones that are evacuated.",
+                self.evacuated_zones.get() as u64,
+            ),
         ];
         for (name, kind, help, value) in gauges {
             writeln!(out, "# HELP figglade_relay_{name} {help}")?;
--- a/crates/figgladed/src/relay/pool.rs
+++ b/crates/figgladed/src/relay/pool.rs
@@ -225,14 +225,15 @@
     }
 
     /// Closes connections that are abandoned or have been idle for too long, ejects targets with an
-    /// overdue request, and removes targets that left.
+    /// overdue request, closes free connections to targets of evacuated zones, and removes targets
+    /// that left.
     pub(super) fn maintain(&self, now: Timestamp) {
         self.pools.borrow_mut().retain(|_, pool| {
             for link in pool.open.borrow().iter() {
                 maintain_link(pool, link, now);
             }
             let is_needed = pool.replica.is_usable.get() || pool.count() > 0;
-            if !pool.replica.is_usable.get() {
+            if !pool.replica.takes_requests() {
                 pool.free.borrow().iter().for_each(|link| link.close());
             }
             is_needed
--- a/crates/figgladed/tests/hub_messages.rs
+++ b/crates/figgladed/tests/hub_messages.rs
@@ -44,6 +44,7 @@
     let payload = encode_compact(&LegacyMessage::Subscribe(request)).unwrap();
     let HubMessage::Subscribe(request) = decode_payload(&payload).unwrap() else { panic!() };
     assert_eq!((request.digest, request.zone), (7, None));
+    assert_eq!(request.evacuations.get(), 0);
 
     let peer: SocketAddr = "10.0.0.1:7740".parse().unwrap();
     let status = LegacyStatus {
@@ -56,4 +57,5 @@
     let payload = encode_compact(&LegacyMessage::Standing(status)).unwrap();
     let HubMessage::Status(status) = decode_payload(&payload).unwrap() else { panic!() };
     assert_eq!((status.followers, status.aggregators.len()), (9, 0));
+    assert_eq!(status.evacuations.get(), 0);
 }
