Acknowledge the first route set of a group that cannot grow

The first route set waits for twice the tolerated losses and one more voters. A deployment with fewer machines with a disk never gets there and never acknowledges a route set, although its commits are on more disks than may be lost.

GroupKeeper::is_settled tells whether the group has been complete and unchanged for 4 s: the leader reaches each voter, and each hub that asks to join is one. The first change then needs only that each commit is on more disks than may be lost. The hub logs and counts the losses that the group bears. Who bootstraps the group is unchanged.

--- a/crates/figglade/src/controller/group_keeper.rs
+++ b/crates/figglade/src/controller/group_keeper.rs
@@ -6,14 +6,24 @@
 //! learners that have caught up until the group tolerates the configured losses, and removes a
 //! member whose disk was replaced. It replaces an unreachable voter only if a learner has caught up
 //! and every other voter is reachable.
+//!
+//! The first acknowledged change waits until the group tolerates the configured losses. Where there
+//! are too few instances with a disk for that, it waits until all of them have been voters for
+//! [`SETTLED_TIME`].
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     InstanceId, Timestamp,
-    controller::quorum::{MAX_MEMBERS, MemberChange, MemberRole, QuorumStatus, StorageId},
+    controller::quorum::{
+        MAX_MEMBERS, MemberChange, MemberRole, MemberSet, QuorumStatus, StorageId,
+    },
 };
 
 /// The time without contact after which a voter is replaced; longer than the restart of a process
@@ -24,6 +34,11 @@
 /// The maximum age of the last greeting of a reachable instance; several greeting intervals.
 const GREETING_MAX_AGE: Duration = Duration::from_millis(1_600);
 
+/// The time for which the group must be complete and unchanged before it counts as settled: several
+/// times the interval at which starting instances join, and well below the 14 s that a deployment has
+/// between its start and its traffic.
+pub const SETTLED_TIME: Duration = Duration::from_secs(4);
+
 /// The request of an instance with a disk to join the control group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JoinRequest {
@@ -61,12 +76,30 @@
 }
 
 /// Returns whether the group may acknowledge a change: each commit is then on more disks than may
-/// be lost at once. The first change also waits until the group is large enough to elect a leader
-/// after such a loss. Later, a smaller group occurs only for a short time during a repair.
-pub fn tolerates_losses(status: &QuorumStatus, tolerated_losses: usize, is_first: bool) -> bool {
-    let is_durable = status.members.majority() > tolerated_losses;
-    let can_elect = status.members.voters().count() > 2 * tolerated_losses;
-    is_durable && (can_elect || !is_first)
+/// be lost at once. `may_grow` holds for the first change until the group has settled; the change then
+/// also waits until the group is large enough to elect a leader after such a loss. Later, a smaller
+/// group occurs for a short time during a repair, or for good where there are too few instances with
+/// a disk.
+pub fn tolerates_losses(status: &QuorumStatus, tolerated_losses: usize, may_grow: bool) -> bool {
+    let losses = borne_losses(&status.members);
+    let is_durable = losses.durable >= tolerated_losses;
+    let can_elect = losses.available >= tolerated_losses;
+    is_durable && (can_elect || !may_grow)
+}
+
+/// The losses of voters that the group bears.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BorneLosses {
+    /// The voters that may be lost for good without losing a committed change.
+    pub durable: usize,
+    /// The voters that may be lost with the others still able to decide.
+    pub available: usize,
+}
+
+/// Returns the losses that a group bears.
+pub fn borne_losses(members: &MemberSet) -> BorneLosses {
+    let (voters, majority) = (members.voters().count(), members.majority());
+    BorneLosses { durable: majority.saturating_sub(1), available: voters.saturating_sub(majority) }
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +116,8 @@
     greetings: BTreeMap<InstanceId, LastGreeting>,
     /// When this instance became leader.
     leader_since: Option<Timestamp>,
+    /// The voters of the complete group, and since when it has been complete with just them.
+    complete_since: Option<(BTreeSet<InstanceId>, Timestamp)>,
 }
 
 impl GroupKeeper {
@@ -90,7 +125,13 @@
     /// `tolerated_losses` members.
     pub fn new(own: InstanceId, tolerated_losses: usize) -> Self {
         let desired_voters = (2 * tolerated_losses + 1).clamp(1, MAX_MEMBERS - 1);
-        Self { own, desired_voters, greetings: BTreeMap::new(), leader_since: None }
+        Self {
+            own,
+            desired_voters,
+            greetings: BTreeMap::new(),
+            leader_since: None,
+            complete_since: None,
+        }
     }
 
     /// Handles the greeting of an instance with a disk.
@@ -116,6 +157,37 @@
             .or_else(|| self.add_learner(status, now))
     }
 
+    /// Returns whether the group has been complete and unchanged for [`SETTLED_TIME`]: this instance
+    /// leads, each reachable instance that asks to join is a voter, and each voter is reachable. The
+    /// caller asks several times a second.
+    pub fn is_settled(&mut self, status: &QuorumStatus, now: Timestamp) -> bool {
+        if !self.is_complete(status, now) {
+            self.complete_since = None;
+            return false;
+        }
+        let voters: BTreeSet<_> = status.members.voters().cloned().collect();
+        match &self.complete_since {
+            Some((held, since)) if *held == voters => now.since(*since) >= SETTLED_TIME,
+            _ => {
+                self.complete_since = Some((voters, now));
+                false
+            }
+        }
+    }
+
+    fn is_complete(&self, status: &QuorumStatus, now: Timestamp) -> bool {
+        let members = &status.members;
+        let is_voter = |id: &InstanceId| members.voters().any(|voter| voter == id);
+        let mut others = members.voters().filter(|id| **id != self.own);
+        let mut asking = self.greetings.keys().filter(|id| self.is_reachable(id, now));
+        status.leader.as_ref() == Some(&self.own)
+            && status.pending_change.is_none()
+            && status.replaced_storage.is_empty()
+            && learners_of(status).next().is_none()
+            && others.all(|id| self.is_reachable(id, now))
+            && asking.all(is_voter)
+    }
+
     /// Removes a member whose disk was emptied: it cannot vote and rejoins as a learner.
     fn remove_replaced(&self, status: &QuorumStatus) -> Option<MemberChange> {
         let id = status.replaced_storage.first()?.clone();
--- a/crates/figglade/tests/group_keeper.rs
+++ b/crates/figglade/tests/group_keeper.rs
@@ -5,7 +5,10 @@
 use figglade::{
     InstanceId, Timestamp,
     controller::{
-        group_keeper::{GroupKeeper, JoinRequest, SeedKind, is_founder, tolerates_losses},
+        group_keeper::{
+            BorneLosses, GroupKeeper, JoinRequest, SETTLED_TIME, SeedKind, borne_losses,
+            is_founder, tolerates_losses,
+        },
         quorum::{
             LogIndex, MemberChange, MemberRole, MemberSet, MemberSpec, QuorumRole, QuorumStatus,
             StorageId, Term,
@@ -176,3 +179,84 @@
     pending.pending_change = Some(LogIndex::new(10));
     assert_eq!(keeper.next_change(&pending, at(10)), None);
 }
+
+/// Lets the keeper look at the group every 500 ms, with greetings of `names`, and returns whether it
+/// counts as settled at the end.
+fn watch(
+    keeper: &mut GroupKeeper,
+    status: &QuorumStatus,
+    names: &[&str],
+    millis: std::ops::RangeInclusive<u64>,
+) -> bool {
+    let mut is_settled = false;
+    for now in millis.step_by(500) {
+        for name in names {
+            keeper.handle_greeting(join(name), at(now));
+        }
+        is_settled = keeper.is_settled(status, at(now));
+    }
+    is_settled
+}
+
+/// Guards against a deployment with too few machines with a disk, which never acknowledged its first
+/// route set, and against one that acknowledges it while the group still grows.
+#[test]
+fn a_complete_group_that_stays_small_settles() {
+    let settled = SETTLED_TIME.as_millis() as u64;
+    let group = status(&["a", "b"], &[]);
+    let mut keeper = GroupKeeper::new(id("a"), 1);
+    assert!(!watch(&mut keeper, &group, &["b"], 0..=settled - 500));
+    assert!(!tolerates_losses(&group, 1, true), "it may still grow");
+    assert!(watch(&mut keeper, &group, &["b"], settled..=settled));
+    assert!(tolerates_losses(&group, 1, false));
+    let losses = borne_losses(&group.members);
+    assert_eq!(losses, BorneLosses { durable: 1, available: 0 });
+    // It settles also if it cannot bear the losses; nothing is acknowledged then.
+    assert!(!tolerates_losses(&status(&["a", "b", "c"], &[]), 2, false));
+}
+
+/// Guards against a first route set that is acknowledged by a group in which a member is about to join,
+/// is not reachable, or has just been replaced.
+#[test]
+fn a_group_that_changes_or_lacks_a_member_does_not_settle() {
+    let settled = SETTLED_TIME.as_millis() as u64;
+    let whole = status(&["a", "b"], &[]);
+    let mut follower = whole.clone();
+    follower.leader = Some(id("b"));
+    let mut pending = whole.clone();
+    pending.pending_change = Some(LogIndex::new(10));
+    let mut replaced = whole.clone();
+    replaced.replaced_storage.push(id("b"));
+    let cases = [
+        ("a hub with a disk is no voter", whole.clone(), &["b", "c"][..]),
+        ("it is a learner", status(&["a", "b"], &["c"]), &["b", "c"]),
+        ("a voter is unreachable", whole.clone(), &[]),
+        ("another member leads", follower, &["b"]),
+        ("a change is not committed", pending, &["b"]),
+        ("a disk was emptied", replaced, &["b"]),
+    ];
+    for (what, group, names) in cases {
+        let mut keeper = GroupKeeper::new(id("a"), 1);
+        assert!(!watch(&mut keeper, &group, names, 0..=3 * settled), "{what}");
+        // The time counts from the moment from which the group is whole.
+        let start = 3 * settled + 2_000;
+        assert!(!watch(&mut keeper, &whole, &["b"], start..=start + settled - 500), "{what}");
+        assert!(watch(&mut keeper, &whole, &["b"], start + settled..=start + settled), "{what}");
+    }
+    // A late joiner, once it is a voter, starts the time again.
+    let mut keeper = GroupKeeper::new(id("a"), 1);
+    assert!(watch(&mut keeper, &whole, &["b"], 0..=settled));
+    let larger = status(&["a", "b", "c"], &[]);
+    assert!(!watch(&mut keeper, &larger, &["b", "c"], settled..=2 * settled - 500));
+}
+
+#[test]
+fn the_losses_that_a_group_bears_follow_from_its_voters() {
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    let borne = |count| borne_losses(&status(&names[..count], &[]).members);
+    for (count, durable, available) in
+        [(1, 0, 0), (2, 1, 0), (3, 1, 1), (4, 2, 1), (5, 2, 2), (6, 3, 2), (7, 3, 3)]
+    {
+        assert_eq!(borne(count), BorneLosses { durable, available }, "{count} voters");
+    }
+}
--- a/crates/figgladed/src/control/member.rs
+++ b/crates/figgladed/src/control/member.rs
@@ -72,6 +72,9 @@
         /// Receives the reply.
         reply: oneshot::Sender<ControlReply>,
     },
+    /// Tells whether every instance with a disk has long been a voter. The first route set does not
+    /// wait for a larger group then.
+    SetGroupSettled(bool),
     /// Transfers the leadership to another member, if this one leads.
     TransferLeadership,
     /// Stops the thread.
--- a/crates/figgladed/src/control/member_driver.rs
+++ b/crates/figgladed/src/control/member_driver.rs
@@ -81,6 +81,8 @@
     snapshot_index: LogIndex,
     /// The bytes appended since the last snapshot.
     appended_bytes: usize,
+    /// Whether every instance with a disk has long been a voter.
+    is_group_settled: bool,
 }
 
 impl MemberDriver {
@@ -102,6 +104,7 @@
             shares: None,
             snapshot_index,
             appended_bytes: 0,
+            is_group_settled: false,
         }
     }
 
@@ -215,6 +218,10 @@
                 self.begin_read(PendingRead::Evacuations { reply }, now)
             }
             MemberInput::ChangeMember { request, reply } => self.change_member(request, reply, now),
+            MemberInput::SetGroupSettled(is_settled) => {
+                self.is_group_settled = is_settled;
+                Ok(())
+            }
             MemberInput::TransferLeadership => match self.node.transfer_leadership(None, now) {
                 Ok(actions) => self.run_actions(actions),
                 Err(_) => Ok(()),
@@ -265,10 +272,10 @@
     /// when it is applied.
     fn check_command(&self, command: &Bytes) -> Result<(), String> {
         let decoded = LedgerCommand::decode(command).map_err(|error| error.to_string())?;
-        let is_first = self.ledger.routes().is_none();
+        let may_grow = self.ledger.routes().is_none() && !self.is_group_settled;
         // What an operator orders is acknowledged only once it survives the losses.
         if matches!(decoded, LedgerCommand::PutRoutes(_) | LedgerCommand::SetEvacuation(_))
-            && !tolerates_losses(&self.node.status(), self.parts.tolerated_losses, is_first)
+            && !tolerates_losses(&self.node.status(), self.parts.tolerated_losses, may_grow)
         {
             return Err(
                 "the control group has too few members for the losses it must tolerate".into()
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -1,6 +1,7 @@
 //! The state and the periodic tasks of a hub.
 
 mod evacuation;
+mod group;
 mod inputs;
 mod replication;
 
@@ -25,7 +26,7 @@
         evacuation::EvacuationError,
         group_keeper::{GroupKeeper, JoinRequest, SeedKind},
         ledger::{LedgerCommand, LedgerReply},
-        quorum::{MemberChange, StorageId},
+        quorum::StorageId,
         route_set::{RouteDocument, RoutePut, RouteSetVersion},
         service_directory::{
             ReportTracker, ServiceDirectory, TargetLeave, TargetRecord, TargetReport,
@@ -45,8 +46,7 @@
 use crate::{
     clock::ProcessClock,
     control::{
-        ControlGroupClient, ControlReply, ControlRequest, MemberHandle, MemberInput, MemberRequest,
-        ProposeMode,
+        ControlGroupClient, ControlReply, ControlRequest, MemberHandle, MemberInput, ProposeMode,
     },
     peer_link::PeerHandle,
 };
@@ -158,6 +158,8 @@
     storage: Option<StorageId>,
     /// The changes to send with the next tick.
     pending: PendingUpdates,
+    /// Whether the member was last told that the control group is complete.
+    is_group_settled: bool,
     is_synced: bool,
     is_leaving: bool,
     /// Whether the targets changed since they were last written to the disk.
@@ -193,6 +195,7 @@
             zones: ZoneState::new(parts.zones.clone()),
             pending: PendingUpdates::default(),
             storage: None,
+            is_group_settled: false,
             is_synced: parts.is_first_start,
             is_leaving: false,
             has_unsaved_targets: false,
@@ -390,12 +393,23 @@
         let reachable = state.peers.live(now).count();
         let version = self.routes().map_or(0, |routes| routes.version.get());
         let evacuated = state.zones.held().zones().len() as u64;
+        let losses = self.borne_losses();
         let gauges = [
             ("targets", "Targets that are not gone.", live as u64),
             ("lapsed_targets", "Targets whose reports stopped.", lapsed as u64),
             ("followers", "Instances that follow this hub.", state.followers.len() as u64),
             ("heard_hubs", "Other hubs that are reachable.", reachable as u64),
             ("route_set_version", "The route set known to be committed.", version),
+            (
+                "durable_losses",
+                "Voters of the control group whose loss loses no acknowledged change.",
+                losses.durable as u64,
+            ),
+            (
+                "available_losses",
+                "Voters of the control group whose loss leaves it able to decide.",
+                losses.available as u64,
+            ),
             ("evacuated_zones", "Availability zones that are evacuated.", evacuated),
             (
                 "current",
@@ -458,30 +472,6 @@
         pending.for_hubs.extend_from_slice(&lapsed);
     }
 
-    /// Proposes the next change of the control group if the local member is the leader.
-    fn repair_group(&self, now: Timestamp) {
-        let Some(member) = self.parts.member.get() else { return };
-        let Some(status) = member.view().status else { return };
-        let change = self.state.borrow_mut().keeper.next_change(&status, now);
-        let Some(change) = change else { return };
-        info!(self.parts.log, "hub: proposing a change of the control group";
-            "change" => format!("{change:?}"));
-        let request = match change {
-            MemberChange::AddLearner { id, peer, storage } => {
-                MemberRequest::Add { id, peer, storage }
-            }
-            MemberChange::Promote { id } => MemberRequest::Promote { id },
-            MemberChange::Remove { id } => MemberRequest::Remove { id },
-        };
-        let (member, log) = (member.clone(), self.parts.log.clone());
-        spawn_local(async move {
-            let ask = member.ask(|reply| MemberInput::ChangeMember { request, reply });
-            if let ControlReply::Refused { reason } = ask.await {
-                info!(log, "hub: the change of the control group was refused"; "reason" => reason);
-            }
-        });
-    }
-
     fn greet_peers(&self) {
         let now = self.now();
         let state = self.state.borrow();
