Let a lone hub find its own member of the control group

A hub learns the members of the control group from the greetings of other hubs. A hub without others knows none, so that it acknowledges neither route sets nor evacuations.

The client of the control group starts with the hub's own member.

--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -1,7 +1,6 @@
 //! The hub process, which receives the reports of targets and the route sets of operators.
 
 use std::{
-    collections::BTreeMap,
     rc::Rc,
     sync::{Arc, OnceLock},
     time::Duration,
@@ -68,11 +67,13 @@
     let handler = HubHandler::new(inputs, Arc::clone(&member), None);
     let transport = start_links(&settings, handler, clock, &log).await?;
     let own = settings.data.is_some().then(|| Arc::clone(&member));
+    // The greetings of other hubs name the other members; a lone hub has none.
+    let members = own.iter().map(|_| (settings.id.clone(), settings.peer)).collect();
     let group = ControlGroupClient::with_late_member(
         clock,
         transport.handle(),
         own.map(|member| (settings.id.clone(), member)),
-        BTreeMap::new(),
+        members,
     );
     let node = Rc::new(HubNode::new(HubParts {
         id: settings.id.clone(),
