Keep targets of services that no route set names apart

A report of another writer, for a service that no route set names, ended the target at the same address, and with the id of a target it made the target's own drain look late. Hubs cannot reject such reports, because targets report before a route set names their service.

ServiceDirectory keeps the records of unnamed services apart, by id and service, and merges them once the service is named. Hubs and instances name the services of the newest route set, hubs before they send it on; HubParts gets a RouteCodec for that. Reports and lapses are tracked by id and service, and a leave ends every record of the id.

--- a/crates/figglade/src/controller/service_directory/mod.rs
+++ b/crates/figglade/src/controller/service_directory/mod.rs
@@ -4,9 +4,14 @@
 //! instances; unchanged reports are not. Reports and records may arrive late and in any order, so
 //! each record is ordered by the incarnation of the target and the sequence of its reports, and a
 //! target that is gone stays gone for that incarnation.
+//!
+//! Targets report before a route set names their service, and a report may come from another writer and
+//! bear the id or the address of a sound target. The record of a service that the route set in force
+//! does not name is therefore kept apart until it is named.
 
 mod records;
 mod reports;
+mod unnamed;
 
 pub use self::{
     records::{ServiceDirectory, TargetRecord},
--- a/crates/figglade/src/controller/service_directory/reports.rs
+++ b/crates/figglade/src/controller/service_directory/reports.rs
@@ -88,11 +88,12 @@
 pub struct ReportTracker {
     own: InstanceId,
     lapse_period: Duration,
-    last_reports: HashMap<TargetId, LastReport>,
+    /// The last report of each target for each service.
+    last_reports: HashMap<(TargetId, ServiceName), LastReport>,
     /// When a holder was first seen as unreachable.
     unreachable_since: HashMap<InstanceId, Timestamp>,
     /// When a target was first seen as lapsed.
-    lapsed_since: HashMap<TargetId, Timestamp>,
+    lapsed_since: HashMap<(TargetId, ServiceName), Timestamp>,
 }
 
 impl ReportTracker {
@@ -116,14 +117,14 @@
         now: Timestamp,
     ) -> ReportOutcome {
         let record = TargetRecord::from_report(report, self.own.clone());
-        let held = directory.get(&report.id);
+        let held = directory.get_for(&report.id, &report.service);
         let is_late = held.is_some_and(|held| {
             held.incarnation > record.incarnation
                 || held.incarnation == record.incarnation && held.sequence > record.sequence
         });
         if !is_late {
-            self.last_reports
-                .insert(report.id.clone(), LastReport { at: now, sequence: report.sequence });
+            let last = LastReport { at: now, sequence: report.sequence };
+            self.last_reports.insert((report.id.clone(), report.service.clone()), last);
         }
         // The phase of a late report counts too: it may be the first to announce a drain.
         let is_changed = held.is_none_or(|held| {
@@ -139,7 +140,7 @@
         if must_replicate && changed.is_empty() {
             // The first attempt to replicate may have failed, so a resent report is replicated
             // again before it is acknowledged.
-            changed.extend(directory.get(&report.id).cloned());
+            changed.extend(directory.get_for(&report.id, &report.service).cloned());
         }
         ReportOutcome { changed, must_replicate }
     }
@@ -153,23 +154,28 @@
         directory: &mut ServiceDirectory,
         now: Timestamp,
     ) -> ReportOutcome {
-        let gone = match directory.get(&leave.id) {
-            Some(held) => {
-                let incarnation = leave.incarnation.unwrap_or(held.incarnation);
-                TargetRecord { phase: TargetPhase::Gone, incarnation, ..held.clone() }
+        let known: Vec<_> = directory.all_of(&leave.id).cloned().collect();
+        if known.is_empty() {
+            let incarnation = leave.incarnation.unwrap_or_default();
+            let gone = TargetRecord::departed(leave.id.clone(), incarnation, self.own.clone());
+            directory.merge(gone.clone(), now);
+            return ReportOutcome { changed: vec![gone], must_replicate: true };
+        }
+        // Only one of several records may be that of the target; the others are of other writers.
+        let mut changed = Vec::new();
+        for held in known {
+            let incarnation = leave.incarnation.unwrap_or(held.incarnation);
+            let key = (held.id.clone(), held.service.clone());
+            let gone = TargetRecord { phase: TargetPhase::Gone, incarnation, ..held };
+            let merged = directory.merge(gone, now);
+            let held = directory.get_for(&key.0, &key.1).cloned();
+            if held.as_ref().is_some_and(|held| held.phase == TargetPhase::Gone) {
+                self.last_reports.remove(&key);
             }
-            None => {
-                let incarnation = leave.incarnation.unwrap_or_default();
-                TargetRecord::departed(leave.id.clone(), incarnation, self.own.clone())
+            if merged.is_empty() {
+                changed.extend(held);
             }
-        };
-        let mut changed = directory.merge(gone.clone(), now);
-        let held = directory.get(&leave.id).cloned().unwrap_or(gone);
-        if held.phase == TargetPhase::Gone {
-            self.last_reports.remove(&leave.id);
-        }
-        if changed.is_empty() {
-            changed.push(held);
+            changed.extend(merged);
         }
         ReportOutcome { changed, must_replicate: true }
     }
@@ -187,7 +193,8 @@
         let mut lapsed = self.expire_lapsed(directory, now);
         for record in live {
             if self.is_overdue(&record, &is_reachable, now) {
-                let sequence = self.last_reports.get(&record.id).map_or(0, |last| last.sequence);
+                let key = (record.id.clone(), record.service.clone());
+                let sequence = self.last_reports.get(&key).map_or(0, |last| last.sequence);
                 let sequence = record.sequence.max(sequence);
                 let marked = TargetRecord { is_lapsed: true, sequence, ..record };
                 lapsed.extend(directory.merge(marked, now));
@@ -203,10 +210,13 @@
         now: Timestamp,
     ) -> Vec<TargetRecord> {
         let lapsed: Vec<_> = directory.live().filter(|record| record.is_lapsed).cloned().collect();
-        self.lapsed_since.retain(|id, _| lapsed.iter().any(|record| record.id == *id));
+        self.lapsed_since.retain(|(id, service), _| {
+            lapsed.iter().any(|record| record.id == *id && record.service == *service)
+        });
         let mut expired = Vec::new();
         for record in lapsed {
-            let since = *self.lapsed_since.entry(record.id.clone()).or_insert(now);
+            let key = (record.id.clone(), record.service.clone());
+            let since = *self.lapsed_since.entry(key).or_insert(now);
             if now.since(since) > LAPSED_TIMEOUT {
                 let gone = TargetRecord { phase: TargetPhase::Gone, ..record };
                 expired.extend(directory.merge(gone, now));
@@ -223,7 +233,7 @@
     ) -> bool {
         if record.holder == self.own {
             // If this process has received no report yet, the lapse period starts now.
-            let last = self.last_reports.entry(record.id.clone());
+            let last = self.last_reports.entry((record.id.clone(), record.service.clone()));
             let last = last.or_insert(LastReport { at: now, sequence: record.sequence });
             return now.since(last.at) > self.lapse_period;
         }
--- a/crates/figglade/tests/service_directory.rs
+++ b/crates/figglade/tests/service_directory.rs
@@ -296,3 +296,108 @@
     hub.directory.purge_gone(at(200_000));
     assert_eq!(hub.directory.records().count(), 0);
 }
+
+fn report_for(id: &str, service: &str, incarnation: u64) -> TargetReport {
+    TargetReport { service: service.parse().unwrap(), ..report(id, incarnation, 1) }
+}
+
+/// A hub whose route set names the service `desk`.
+fn hub_with_desk() -> Hub {
+    let mut hub = Hub::new("h1");
+    hub.directory = ServiceDirectory::without_services();
+    assert_eq!(name(&mut hub.directory, &["desk"]), []);
+    hub
+}
+
+fn name(directory: &mut ServiceDirectory, services: &[&str]) -> Vec<TargetRecord> {
+    let services = services.iter().map(|service| service.parse().unwrap()).collect();
+    directory.name_services(services, at(0))
+}
+
+/// Guards against reports of another writer with the address or the id of a sound target, which ended
+/// it or made its drain look late.
+#[test]
+fn a_report_for_an_unnamed_service_changes_no_target_of_a_named_one() {
+    let mut hub = hub_with_desk();
+    hub.handle(&report("t", 1, 1), at(0));
+    assert_eq!(hub.handle(&report_for("other", "odd", 9), at(10)).len(), 1);
+    assert_eq!(hub.handle(&report_for("t", "odd", 9), at(10)).len(), 1);
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Ready));
+    let drain = TargetReport { phase: TargetPhase::Draining, ..report("t", 1, 2) };
+    assert_eq!(hub.handle(&drain, at(20)).len(), 1);
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Draining));
+    hub.leave("t", None, at(30));
+    assert!(hub.directory.all_of(&"t".parse().unwrap()).all(|r| r.phase == TargetPhase::Gone));
+    assert_eq!(hub.phase("other"), Some(TargetPhase::Ready));
+}
+
+/// Guards against a route set that comes into force before the targets of its new services are known,
+/// although they reported.
+#[test]
+fn a_target_is_known_as_soon_as_its_service_is_named() {
+    let mut hub = hub_with_desk();
+    hub.handle(&report("old", 1, 1), at(0));
+    hub.handle(&report_for("new", "shard", 5), at(0));
+    let digest = hub.directory.digest();
+    assert_eq!(hub.phase("old"), Some(TargetPhase::Ready));
+    // The new target listens at the address of the old one, which has ended.
+    let ended = name(&mut hub.directory, &["desk", "shard"]);
+    assert_eq!(ended.iter().map(|record| record.id.as_str()).collect::<Vec<_>>(), ["old"]);
+    assert_eq!(
+        (hub.phase("old"), hub.phase("new")),
+        (Some(TargetPhase::Gone), Some(TargetPhase::Ready))
+    );
+    assert_ne!(hub.directory.digest(), digest);
+    // A service that is no longer named leaves its targets known.
+    assert_eq!(name(&mut hub.directory, &["desk"]), []);
+    assert_eq!(hub.phase("new"), Some(TargetPhase::Ready));
+    assert!(hub.handle(&report_for("new", "shard", 5), at(10)).is_empty(), "it is unchanged");
+}
+
+#[test]
+fn a_target_of_an_unnamed_service_leaves_and_lapses_like_others() {
+    let mut hub = hub_with_desk();
+    hub.handle(&report_for("t", "odd", 1), at(0));
+    hub.handle(&report_for("u", "odd", 1), at(0));
+    assert_eq!(hub.leave("t", None, at(10)).changed.len(), 1);
+    assert!(hub.handle(&report_for("t", "odd", 1), at(20)).is_empty());
+    assert_eq!(hub.phase("t"), Some(TargetPhase::Gone));
+    let lapsed = hub.tracker.mark_lapsed(&mut hub.directory, |_| true, at(60_000));
+    assert_eq!(lapsed.iter().map(|record| record.id.as_str()).collect::<Vec<_>>(), ["u"]);
+    // A target that left before any report of it arrived stays gone.
+    hub.leave("v", Some(3), at(60_000));
+    assert!(hub.handle(&report_for("v", "odd", 3), at(60_010)).is_empty());
+}
+
+/// Guards against processes that never agree because one learned the services later.
+#[test]
+fn directories_agree_regardless_of_when_services_are_named() {
+    arbtest::arbtest(|u| {
+        let mut records = Vec::new();
+        for _ in 0..u.int_in_range(1..=6)? {
+            let id = ["a", "b", "c"][u.int_in_range(0..=2)?];
+            let service = ["desk", "odd"][u.int_in_range(0..=1)?];
+            let phase = [TargetPhase::Ready, TargetPhase::Draining, TargetPhase::Gone];
+            let mut report = report_for(id, service, u.int_in_range(1..=3)?);
+            report.sequence = u.int_in_range(1..=4)?;
+            report.phase = phase[u.int_in_range(0..=2)?];
+            report.address = format!("10.0.0.{}:80", id.as_bytes()[0]).parse().unwrap();
+            records.push(TargetRecord::from_report(&report, hub("h1")));
+        }
+        let mut early = ServiceDirectory::without_services();
+        let mut late = ServiceDirectory::without_services();
+        name(&mut early, &["desk"]);
+        for record in &records {
+            early.merge(record.clone(), at(0));
+        }
+        for record in records.iter().rev() {
+            late.merge(record.clone(), at(0));
+        }
+        name(&mut late, &["desk"]);
+        assert_eq!(early.digest(), late.digest(), "{records:?}");
+        name(&mut early, &["desk", "odd"]);
+        name(&mut late, &["odd", "desk"]);
+        assert_eq!(early.digest(), late.digest(), "all services are named: {records:?}");
+        Ok(())
+    });
+}
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -4,6 +4,7 @@
 mod group;
 mod inputs;
 mod replication;
+mod services;
 
 use std::{
     cell::RefCell,
@@ -27,7 +28,7 @@
         group_keeper::{GroupKeeper, JoinRequest, SeedKind},
         ledger::{LedgerCommand, LedgerReply},
         quorum::StorageId,
-        route_set::{RouteDocument, RoutePut, RouteSetVersion},
+        route_set::{RouteCodec, RouteDocument, RoutePut, RouteSetVersion},
         service_directory::{
             ReportTracker, ServiceDirectory, TargetLeave, TargetRecord, TargetReport,
         },
@@ -139,12 +140,16 @@
     pub member: Arc<OnceLock<MemberHandle>>,
     /// The store of the targets; `None` without a disk.
     pub target_store: Option<TargetStore>,
+    /// Decodes the committed route sets.
+    pub codec: Box<dyn RouteCodec>,
     /// The log of the process.
     pub log: Logger,
 }
 
 struct HubState {
     directory: ServiceDirectory,
+    /// The route set whose services the directory knows.
+    named_by: Option<RouteSetVersion>,
     reports: ReportTracker,
     keeper: GroupKeeper,
     peers: HubPeers,
@@ -185,7 +190,8 @@
     /// Builds a hub with the targets on the disk, if any.
     pub fn new(parts: HubParts) -> Self {
         let state = HubState {
-            directory: ServiceDirectory::default(),
+            directory: ServiceDirectory::without_services(),
+            named_by: None,
             reports: ReportTracker::new(parts.id.clone(), parts.report_period),
             keeper: GroupKeeper::new(parts.id.clone(), parts.tolerated_losses),
             peers: HubPeers::new(parts.peer),
@@ -278,6 +284,7 @@
 
     /// Sends the newest known route set to all followers.
     pub fn broadcast_routes(&self) {
+        self.refresh_services();
         let Some(routes) = self.routes() else { return };
         info!(self.parts.log, "hub: a route set is committed"; "version" => %routes.version);
         let now = self.now();
@@ -440,6 +447,7 @@
         if ticks % CLEAN_UP_INTERVAL_TICKS == 2 {
             self.clean_up(now);
         }
+        self.refresh_services();
         self.send_pending();
         self.repair_group(now);
         if ticks % CONFIRM_INTERVAL_TICKS == 1 {
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use figglade::controller::route_set::RouteCodec;
 use slog::{Logger, error, info};
 use tokio::{
     sync::{Notify, mpsc},
@@ -44,6 +45,8 @@
     pub reader: Box<dyn SettingsReader>,
     /// Builds the handler for the calls of targets and operators.
     pub admin: AdminFactory,
+    /// Decodes the route documents of operators.
+    pub codec: Box<dyn RouteCodec>,
     /// The log of the process.
     pub log: Logger,
 }
@@ -54,7 +57,7 @@
 ///
 /// Fails when it cannot start.
 pub async fn run_hub(process: HubProcess) -> Result<(), ProcessError> {
-    let HubProcess { settings, reader, admin, log } = process;
+    let HubProcess { settings, reader, admin, codec, log } = process;
     // The signal handlers come first: without them, a reload signal (SIGHUP) ends the process.
     let mut watch = ProcessWatch::start(settings.clone(), log.clone())?;
     let clock = ProcessClock::start();
@@ -89,6 +92,7 @@
         link: transport.handle(),
         group: Arc::new(group),
         member: Arc::clone(&member),
+        codec,
         target_store: settings.data.as_ref().map(|data| TargetStore::new(&data.path)),
         log: log.clone(),
     }));
--- a/crates/figgladed/src/relay/edge.rs
+++ b/crates/figgladed/src/relay/edge.rs
@@ -143,7 +143,7 @@
             routes: RefCell::default(),
             profiles: RefCell::default(),
             services: RefCell::default(),
-            directory: RefCell::default(),
+            directory: RefCell::new(ServiceDirectory::without_services()),
             balances: RefCell::default(),
             coverages: RefCell::default(),
             aggregators: RefCell::new(picker),
@@ -211,7 +211,11 @@
         self.profiles.borrow_mut().retain(|name, _| names.contains(name.as_str()));
         self.balances.borrow_mut().clear();
         self.coverages.borrow_mut().clear();
+        let services = set.services.iter().map(|service| service.name.clone()).collect();
         *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(Arc::new(set))));
+        let now = self.clock.now();
+        let ended = self.directory.borrow_mut().name_services(services, now);
+        self.apply_changes(&ended, now);
         self.remove_moved_replicas();
         self.refresh_limits();
     }
@@ -227,13 +231,7 @@
                 directory.get(&record.id).is_some_and(|held| held.service != record.service);
             changes.extend(directory.merge(record, now));
         }
-        for record in &changes {
-            info!(self.log, "relay: a target changed"; "target" => %record.id,
-                "service" => %record.service, "phase" => %record.phase,
-                "address" => %record.address, "lapsed" => record.is_lapsed,
-                "incarnation" => %record.incarnation, "sequence" => record.sequence);
-            self.apply_record(record, now);
-        }
+        self.apply_changes(&changes, now);
         if has_moved {
             self.remove_moved_replicas();
         }
@@ -243,6 +241,16 @@
         changes.len()
     }
 
+    fn apply_changes(&self, changes: &[TargetRecord], now: Timestamp) {
+        for record in changes {
+            info!(self.log, "relay: a target changed"; "target" => %record.id,
+                "service" => %record.service, "phase" => %record.phase,
+                "address" => %record.address, "lapsed" => record.is_lapsed,
+                "incarnation" => %record.incarnation, "sequence" => record.sequence);
+            self.apply_record(record, now);
+        }
+    }
+
     /// Waits until targets say in their answers that they are leaving, and marks them as draining.
     /// Returns the changed records, for the other instances.
     pub async fn wait_drained(&self) -> Vec<TargetRecord> {
