--- a/crates/figgladed/src/control/member_driver.rs
+++ b/crates/figgladed/src/control/member_driver.rs
@@ -56,6 +56,8 @@
     Renewal { request: RenewRequest, reply: oneshot::Sender<ControlReply> },
     /// A read of the newest route set.
     Routes { reply: oneshot::Sender<ControlReply> },
+    /// A read of the evacuated zones in force.
+    Evacuations { reply: oneshot::Sender<ControlReply> },
 }
 
 /// The reason the member stops taking part in the group.
@@ -79,6 +81,8 @@
     snapshot_index: LogIndex,
     /// The bytes appended since the last snapshot.
     appended_bytes: usize,
+    /// Whether every instance with a disk has long been a voter.
+    is_group_settled: bool,
 }
 
 impl MemberDriver {
@@ -100,6 +104,7 @@
             shares: None,
             snapshot_index,
             appended_bytes: 0,
+            is_group_settled: false,
         }
     }
 
@@ -209,7 +214,14 @@
             MemberInput::ReadRoutes { reply } => {
                 self.begin_read(PendingRead::Routes { reply }, now)
             }
+            MemberInput::ReadEvacuations { reply } => {
+                self.begin_read(PendingRead::Evacuations { reply }, now)
+            }
             MemberInput::ChangeMember { request, reply } => self.change_member(request, reply, now),
+            MemberInput::SetGroupSettled(is_settled) => {
+                self.is_group_settled = is_settled;
+                Ok(())
+            }
             MemberInput::TransferLeadership => match self.node.transfer_leadership(None, now) {
                 Ok(actions) => self.run_actions(actions),
                 Err(_) => Ok(()),
@@ -260,9 +272,10 @@
     /// when it is applied.
     fn check_command(&self, command: &Bytes) -> Result<(), String> {
         let decoded = LedgerCommand::decode(command).map_err(|error| error.to_string())?;
-        let is_first = self.ledger.routes().is_none();
-        if matches!(decoded, LedgerCommand::PutRoutes(_))
-            && !tolerates_losses(&self.node.status(), self.parts.tolerated_losses, is_first)
+        let may_grow = self.ledger.routes().is_none() && !self.is_group_settled;
+        // What an operator orders is acknowledged only once it survives the losses.
+        if matches!(decoded, LedgerCommand::PutRoutes(_) | LedgerCommand::SetEvacuation(_))
+            && !tolerates_losses(&self.node.status(), self.parts.tolerated_losses, may_grow)
         {
             return Err(
                 "the control group has too few members for the losses it must tolerate".into()
@@ -421,6 +434,10 @@
                 answer(reply, ControlReply::Routes(self.ledger.routes().cloned()));
                 Ok(())
             }
+            Some(PendingRead::Evacuations { reply }) => {
+                answer(reply, ControlReply::Evacuations(self.ledger.evacuations().clone()));
+                Ok(())
+            }
             None => Ok(()),
         }
     }
@@ -485,6 +502,11 @@
         if held != self.ledger.routes().map(|routes| routes.version) {
             view.routes = self.ledger.routes().cloned().map(Arc::new);
         }
+        let has_new_evacuations =
+            view.evacuations.revision() != self.ledger.evacuations().revision();
+        if has_new_evacuations {
+            view.evacuations = Arc::new(self.ledger.evacuations().clone());
+        }
         let shown = view.history.last().map(|change| change.version);
         if shown.unwrap_or_default() != self.ledger.config().version {
             let latest = self.ledger.history().rev().take(MAX_HISTORY_CHANGES).cloned();
@@ -493,7 +515,7 @@
         }
         let has_new_routes = held != view.routes.as_ref().map(|routes| routes.version);
         drop(view);
-        if has_new_routes {
+        if has_new_routes || has_new_evacuations {
             (self.parts.on_change)();
         }
     }
@@ -506,7 +528,9 @@
 impl PendingRead {
     fn into_reply(self) -> oneshot::Sender<ControlReply> {
         match self {
-            Self::Renewal { reply, .. } | Self::Routes { reply } => reply,
+            Self::Renewal { reply, .. } | Self::Routes { reply } | Self::Evacuations { reply } => {
+                reply
+            }
         }
     }
 }
--- a/crates/figgladed/src/hub/message.rs
+++ b/crates/figgladed/src/hub/message.rs
@@ -6,6 +6,7 @@
     CoreShare, InstanceId, Timestamp, ZoneName,
     controller::{
         aggregators::{AggregatorAddress, ZoneMembers},
+        evacuation::{EvacuationRevision, EvacuationSet},
         group_keeper::JoinRequest,
         hub_chooser::HubAddress,
         route_set::{RouteDocument, RouteSetVersion},
@@ -29,6 +30,8 @@
     Routes(RouteDocument),
     /// A hub reports its state to another hub, periodically.
     Greeting(Box<HubGreeting>),
+    /// The committed set of evacuated zones.
+    Evacuations(EvacuationSet),
 }
 
 /// The poll of a follower, with the state that it holds.
@@ -56,6 +59,12 @@
     /// When the poll was sent, on the clock of the sender.
     #[serde(default)]
     pub sent_at: Timestamp,
+    /// The revision of its evacuated zones.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// The number of the poll, which the answer repeats.
+    #[serde(default)]
+    pub poll: u64,
 }
 
 /// The status of a hub.
@@ -80,6 +89,15 @@
     /// When the poll that this answers was sent; `None` from earlier releases.
     #[serde(default)]
     pub poll_sent_at: Option<Timestamp>,
+    /// The revision of the evacuated zones known to it.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// Whether it has not read the evacuated zones since its start; its revision then proves nothing.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
+    /// The number of the poll that this answers.
+    #[serde(default)]
+    pub poll: u64,
 }
 
 /// The state that a hub reports to the other hubs.
@@ -111,6 +129,12 @@
     /// The instances that follow it, by zone.
     #[serde(default)]
     pub members: Vec<ZoneMembers>,
+    /// The revision of its evacuated zones.
+    #[serde(default)]
+    pub evacuations: EvacuationRevision,
+    /// Whether it has not read the evacuated zones since its start.
+    #[serde(default)]
+    pub is_unconfirmed: bool,
 }
 
 impl HubMessage {
@@ -122,8 +146,8 @@
     pub fn into_frame(self) -> Result<PeerFrame, CodecError> {
         let payload = match &self {
             // Earlier releases know fewer fields of these.
-            Self::Subscribe(_) | Self::Status(_) => encode_payload(&self)?,
-            Self::Records(_) | Self::Routes(_) | Self::Greeting(_) => encode_compact(&self)?,
+            Self::Subscribe(_) | Self::Status(_) | Self::Greeting(_) => encode_payload(&self)?,
+            Self::Records(_) | Self::Routes(_) | Self::Evacuations(_) => encode_compact(&self)?,
         };
         Ok(PeerFrame { kind: FrameKind::Registry, payload })
     }
--- a/crates/figgladed/src/hub/node/inputs.rs
+++ b/crates/figgladed/src/hub/node/inputs.rs
@@ -23,6 +23,7 @@
             HubMessage::Subscribe(request) => self.handle_subscribe(from.address, &request),
             HubMessage::Records(records) => self.handle_records(from.address, records),
             HubMessage::Routes(routes) => self.handle_routes(routes),
+            HubMessage::Evacuations(evacuations) => self.handle_evacuations(&evacuations),
             HubMessage::Greeting(greeting) => self.handle_greeting(from.address, *greeting),
             HubMessage::Status(_) => {}
         }
@@ -35,6 +36,9 @@
     fn handle_subscribe(&self, from: SocketAddr, request: &SubscribeRequest) {
         let now = self.now();
         let routes = self.routes();
+        // They precede the route set: an instance that has just started must not use the targets of
+        // an evacuated zone.
+        self.send_newer_evacuations(from, request.evacuations);
         let mut state = self.state.borrow_mut();
         let digest = state.directory.digest();
         let is_behind = routes.as_ref().map(|routes| routes.version) > request.routes;
@@ -92,6 +96,9 @@
             followers: self.count_followers(state, now),
             routes: self.routes().map(|routes| routes.version),
             poll_sent_at: Some(request.sent_at),
+            evacuations: state.zones.held().revision(),
+            is_unconfirmed: !self.has_confirmed_evacuations(state, now),
+            poll: request.poll,
         }
     }
 
@@ -136,6 +143,9 @@
     fn handle_greeting(&self, from: SocketAddr, greeting: HubGreeting) {
         let now = self.now();
         let routes = self.routes();
+        if !greeting.has_disk {
+            self.send_newer_evacuations(from, greeting.evacuations);
+        }
         let mut state = self.state.borrow_mut();
         if let Some(join) = &greeting.join {
             self.parts.group.update_members(std::iter::once((join.id.clone(), join.peer)));
--- a/crates/figgladed/src/hub/node/mod.rs
+++ b/crates/figgladed/src/hub/node/mod.rs
@@ -1,12 +1,15 @@
 //! The state and the periodic tasks of a hub.
 
+mod evacuation;
+mod group;
 mod hubs;
 mod inputs;
 mod replication;
+mod services;
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, OnceLock},
@@ -22,10 +25,11 @@
             AggregatorAddress, AggregatorCandidate, ZoneMembers, choose_aggregators,
             summarize_members,
         },
+        evacuation::EvacuationError,
         group_keeper::{GroupKeeper, JoinRequest, SeedKind},
         ledger::{LedgerCommand, LedgerReply},
-        quorum::{MemberChange, StorageId},
-        route_set::{RouteDocument, RoutePut, RouteSetVersion},
+        quorum::StorageId,
+        route_set::{RouteCodec, RouteDocument, RoutePut, RouteSetVersion},
         service_directory::{
             ReportTracker, ServiceDirectory, TargetLeave, TargetRecord, TargetReport,
         },
@@ -34,6 +38,7 @@
 use slog::{Logger, info, warn};
 use tokio::{sync::mpsc, task::spawn_local, time::interval};
 
+use self::evacuation::ZoneState;
 use super::{
     frames::HubInput,
     message::{HubGreeting, HubMessage},
@@ -43,14 +48,15 @@
 use crate::{
     clock::ProcessClock,
     control::{
-        ControlGroupClient, ControlReply, ControlRequest, MemberHandle, MemberInput, MemberRequest,
-        ProposeMode,
+        ControlGroupClient, ControlReply, ControlRequest, MemberHandle, MemberInput, ProposeMode,
     },
     peer_link::PeerHandle,
 };
 
 /// The time between two runs of the periodic tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// The ticks between two attempts to read the evacuated zones after the start.
+const CONFIRM_INTERVAL_TICKS: u64 = 2;
 /// The ticks between two greetings.
 const GREETING_INTERVAL_TICKS: u64 = 7;
 /// The ticks between two checks for targets that are not yet written to the disk.
@@ -94,6 +100,15 @@
         /// The reason.
         reason: String,
     },
+    /// An order for a zone was rejected.
+    #[display("{_0}")]
+    BadZone(EvacuationError),
+    /// The control group did not confirm an order for a zone.
+    #[display("the control group did not confirm the order: {reason}")]
+    NotOrdered {
+        /// The reason.
+        reason: String,
+    },
 }
 
 /// The settings and dependencies of a hub.
@@ -106,6 +121,8 @@
     pub admin: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The availability zones of the settings; an empty set allows every zone to be evacuated.
+    pub zones: BTreeSet<ZoneName>,
     /// Whether it has a disk.
     pub has_disk: bool,
     /// The number of members that may be lost at once.
@@ -124,12 +141,16 @@
     pub member: Arc<OnceLock<MemberHandle>>,
     /// The store of the targets; `None` without a disk.
     pub target_store: Option<TargetStore>,
+    /// Decodes the committed route sets.
+    pub codec: Rc<dyn RouteCodec>,
     /// The log of the process.
     pub log: Logger,
 }
 
 struct HubState {
     directory: ServiceDirectory,
+    /// The route set whose services the directory knows.
+    named_by: Option<RouteSetVersion>,
     reports: ReportTracker,
     keeper: GroupKeeper,
     peers: HubPeers,
@@ -138,9 +159,13 @@
     aggregators: Vec<AggregatorAddress>,
     /// The newest route set received from another hub; the own member's view may be newer.
     received_routes: Option<Arc<RouteDocument>>,
+    /// The evacuated zones as far as this hub knows, and those of the settings.
+    zones: ZoneState,
     storage: Option<StorageId>,
     /// The changes to send with the next tick.
     pending: PendingUpdates,
+    /// Whether the member was last told that the control group is complete.
+    is_group_settled: bool,
     is_synced: bool,
     is_leaving: bool,
     /// Whether the targets changed since they were last written to the disk.
@@ -166,15 +191,18 @@
     /// Builds a hub with the targets on the disk, if any.
     pub fn new(parts: HubParts) -> Self {
         let state = HubState {
-            directory: ServiceDirectory::default(),
+            directory: ServiceDirectory::without_services(),
+            named_by: None,
             reports: ReportTracker::new(parts.id.clone(), parts.report_period),
             keeper: GroupKeeper::new(parts.id.clone(), parts.tolerated_losses),
             peers: HubPeers::new(parts.peer),
             followers: BTreeMap::new(),
             aggregators: Vec::new(),
             received_routes: None,
+            zones: ZoneState::new(parts.zones.clone()),
             pending: PendingUpdates::default(),
             storage: None,
+            is_group_settled: false,
             is_synced: parts.is_first_start,
             is_leaving: false,
             has_unsaved_targets: false,
@@ -257,6 +285,7 @@
 
     /// Sends the newest known route set to all followers.
     pub fn broadcast_routes(&self) {
+        self.refresh_services();
         let Some(routes) = self.routes() else { return };
         info!(self.parts.log, "hub: a route set is committed"; "version" => %routes.version);
         let now = self.now();
@@ -372,12 +401,25 @@
         let lapsed = state.directory.live().filter(|record| record.is_lapsed).count();
         let reachable = state.peers.live(now).count();
         let version = self.routes().map_or(0, |routes| routes.version.get());
+        let evacuated = state.zones.held().zones().len() as u64;
+        let losses = self.borne_losses();
         let gauges = [
             ("targets", "Targets that are not gone.", live as u64),
             ("lapsed_targets", "Targets whose reports stopped.", lapsed as u64),
             ("followers", "Instances that follow this hub.", state.followers.len() as u64),
             ("heard_hubs", "Other hubs that are reachable.", reachable as u64),
             ("route_set_version", "The route set known to be committed.", version),
+            (
+                "durable_losses",
+                "Voters of the control group whose loss loses no acknowledged change.",
+                losses.durable as u64,
+            ),
+            (
+                "available_losses",
+                "Voters of the control group whose loss leaves it able to decide.",
+                losses.available as u64,
+            ),
+            ("evacuated_zones", "Availability zones that are evacuated.", evacuated),
             (
                 "current",
                 "Whether the control group is reachable.",
@@ -407,8 +449,13 @@
         if ticks % CLEAN_UP_INTERVAL_TICKS == 2 {
             self.clean_up(now);
         }
+        self.refresh_services();
         self.send_pending();
         self.repair_group(now);
+        if ticks % CONFIRM_INTERVAL_TICKS == 1 {
+            self.refresh_evacuations();
+            self.confirm_evacuations();
+        }
         if ticks % WRITE_INTERVAL_TICKS == 3 && self.state.borrow().has_unsaved_targets {
             let node = Rc::clone(self);
             spawn_local(async move { node.write_targets().await });
@@ -435,30 +482,6 @@
         pending.for_hubs.extend_from_slice(&lapsed);
     }
 
-    /// Proposes the next change of the control group if the local member is the leader.
-    fn repair_group(&self, now: Timestamp) {
-        let Some(member) = self.parts.member.get() else { return };
-        let Some(status) = member.view().status else { return };
-        let change = self.state.borrow_mut().keeper.next_change(&status, now);
-        let Some(change) = change else { return };
-        info!(self.parts.log, "hub: proposing a change of the control group";
-            "change" => format!("{change:?}"));
-        let request = match change {
-            MemberChange::AddLearner { id, peer, storage } => {
-                MemberRequest::Add { id, peer, storage }
-            }
-            MemberChange::Promote { id } => MemberRequest::Promote { id },
-            MemberChange::Remove { id } => MemberRequest::Remove { id },
-        };
-        let (member, log) = (member.clone(), self.parts.log.clone());
-        spawn_local(async move {
-            let ask = member.ask(|reply| MemberInput::ChangeMember { request, reply });
-            if let ControlReply::Refused { reason } = ask.await {
-                info!(log, "hub: the change of the control group was refused"; "reason" => reason);
-            }
-        });
-    }
-
     fn greet_peers(&self) {
         let now = self.now();
         let state = self.state.borrow();
@@ -482,6 +505,8 @@
             is_current: self.is_current(&state, now),
             hubs: state.peers.live(now).map(|(address, _)| address).collect(),
             members: self.summarize_followers(&state, now),
+            evacuations: state.zones.held().revision(),
+            is_unconfirmed: !self.has_confirmed_evacuations(&state, now),
         };
         let message = HubMessage::Greeting(Box::new(greeting));
         let Some(frame) = self.encode(message) else { return };
@@ -534,19 +559,19 @@
     }
 
     /// Returns whether the control group is reachable. With a disk, the member must work and know a
-    /// leader. Without one, a reachable hub with a disk must be current, and its route set must not
-    /// be newer than the own one.
+    /// leader. Without one, a reachable hub with a disk must be current, and neither its route set nor
+    /// its evacuated zones may be newer than the own ones.
     fn is_current(&self, state: &HubState, now: Timestamp) -> bool {
         if !self.parts.has_disk {
             let held = state.received_routes.as_ref().map(|routes| routes.version);
             return state.peers.live(now).any(|(_, greeting)| {
-                greeting.has_disk && greeting.is_current && greeting.routes <= held
+                greeting.has_disk
+                    && greeting.is_current
+                    && greeting.routes <= held
+                    && greeting.evacuations <= state.zones.held().revision()
             });
         }
-        let view = self.parts.member.get().map(MemberHandle::view);
-        view.is_some_and(|view| {
-            view.failure.is_none() && view.status.is_some_and(|status| status.leader.is_some())
-        })
+        self.knows_leader()
     }
 
     /// Returns the newest route set known to be committed.
--- a/crates/figgladed/src/hub/quota.rs
+++ b/crates/figgladed/src/hub/quota.rs
@@ -86,7 +86,7 @@
     /// The rules for all quotas.
     pub rules: QuotaRules,
     /// Decodes route documents.
-    pub codec: Box<dyn RouteCodec>,
+    pub codec: Rc<dyn RouteCodec>,
     /// The links to other processes.
     pub link: PeerHandle,
     /// The control group member in this process; set once the member has started.
--- a/crates/figgladed/src/process/hub.rs
+++ b/crates/figgladed/src/process/hub.rs
@@ -1,7 +1,6 @@
 //! The hub process, which receives the reports of targets and the route sets of operators.
 
 use std::{
-    collections::BTreeMap,
     rc::Rc,
     sync::{Arc, OnceLock},
     time::Duration,
@@ -48,7 +47,7 @@
     /// Reads the settings again when they may have changed.
     pub reader: Box<dyn SettingsReader>,
     /// Decodes the route documents of operators.
-    pub codec: Box<dyn RouteCodec>,
+    pub codec: Rc<dyn RouteCodec>,
     /// Builds the handler for the calls of targets and operators.
     pub admin: AdminFactory,
     /// The log of the process.
@@ -75,17 +74,20 @@
     let handler = HubHandler::new(inputs, Arc::clone(&member), None).with_quotas(quotas);
     let transport = start_links(&settings, handler, clock, &log).await?;
     let own = settings.data.is_some().then(|| Arc::clone(&member));
+    // The greetings of other hubs name the other members; a lone hub has none.
+    let members = own.iter().map(|_| (settings.id.clone(), settings.peer)).collect();
     let group = ControlGroupClient::with_late_member(
         clock,
         transport.handle(),
         own.map(|member| (settings.id.clone(), member)),
-        BTreeMap::new(),
+        members,
     );
     let node = Rc::new(HubNode::new(HubParts {
         id: settings.id.clone(),
         peer: settings.peer,
         admin: admin_address,
         zone: settings.zone.clone(),
+        zones: settings.zones.clone(),
         has_disk: settings.data.is_some(),
         tolerated_losses: settings.tolerated_losses,
         report_period: settings.report_period,
@@ -94,6 +96,7 @@
         link: transport.handle(),
         group: Arc::new(group),
         member: Arc::clone(&member),
+        codec: Rc::clone(&codec),
         target_store: settings.data.as_ref().map(|data| TargetStore::new(&data.path)),
         log: log.clone(),
     }));
@@ -122,14 +125,18 @@
         serve_metrics(address, render, clock, &log).await;
     }
     let routes_changed = Arc::new(Notify::new());
-    spawn_local(broadcast_routes(Rc::clone(&node), Arc::clone(&routes_changed)));
+    spawn_local(broadcast_changes(Rc::clone(&node), Arc::clone(&routes_changed)));
     let running = Rc::new(std::cell::RefCell::new(None));
     if let Some(options) =
         member_options(&settings, clock, transport.handle(), routes_changed, &log)
     {
         spawn_local(run_member(options, Rc::clone(&node), member, Rc::clone(&running)));
     }
-    watch.wait_for_stop(reader.as_ref(), |settings| node.update_seeds(&settings.seeds)).await;
+    let update = |settings: &ProcessSettings| {
+        node.update_seeds(&settings.seeds);
+        node.update_zones(settings.zones.clone());
+    };
+    watch.wait_for_stop(reader.as_ref(), update).await;
     info!(log, "process: the hub stops");
     node.leave();
     sleep(STOP_DELAY).await;
@@ -188,9 +195,9 @@
     }
 }
 
-async fn broadcast_routes(node: Rc<HubNode>, changed: Arc<Notify>) {
+async fn broadcast_changes(node: Rc<HubNode>, changed: Arc<Notify>) {
     loop {
         changed.notified().await;
-        node.broadcast_routes();
+        node.broadcast_changes();
     }
 }
--- a/crates/figgladed/tests/hub_messages.rs
+++ b/crates/figgladed/tests/hub_messages.rs
@@ -45,6 +45,7 @@
     let payload = encode_compact(&LegacyMessage::Subscribe(request)).unwrap();
     let HubMessage::Subscribe(request) = decode_payload(&payload).unwrap() else { panic!() };
     assert_eq!((request.digest, request.zone), (7, None));
+    assert_eq!(request.evacuations.get(), 0);
 
     let peer: SocketAddr = "10.0.0.1:7740".parse().unwrap();
     let status = LegacyStatus {
@@ -58,6 +59,7 @@
     let HubMessage::Status(status) = decode_payload(&payload).unwrap() else { panic!() };
     assert_eq!((status.followers, status.aggregators.len()), (9, 0));
     assert_eq!((status.routes, status.poll_sent_at), (None, None));
+    assert_eq!(status.evacuations.get(), 0);
 }
 
 /// Guards against messages that an earlier release cannot read while both run.
@@ -72,6 +74,9 @@
         aggregators: Vec::new(),
         routes: Some(RouteSetVersion::new(3)),
         poll_sent_at: Some(Timestamp::ZERO),
+        evacuations: EvacuationRevision::default(),
+        is_unconfirmed: false,
+        poll: 1,
     };
     let frame = HubMessage::Status(status).into_frame().unwrap();
     let LegacyMessage::Standing(status) = decode_payload(&frame.payload).unwrap() else { panic!() };
@@ -85,6 +90,8 @@
         cores: CoreShare::default(),
         aggregators: 1,
         sent_at: Timestamp::ZERO,
+        evacuations: EvacuationRevision::default(),
+        poll: 1,
     };
     let frame = HubMessage::Subscribe(request).into_frame().unwrap();
     let LegacyMessage::Subscribe(request) = decode_payload(&frame.payload).unwrap() else {
