Refill quotas by what their plans leave, and ask another hub sooner

Cause: a customer whose limit was lowered below its demand got its rate alone, although the quota allows the burst in every window, and the slack of the plans lay unused. An instance waited 40 ms for a hub that had stopped, which is a whole latency goal.

Change: what a plan leaves after one burst and the reserves refills the bucket faster, up to one burst in a window. An instance asks another hub after 20 ms, a hub answers a waiting request after 15 ms at the latest.

--- a/crates/figglade/src/controller/quota/granter.rs
+++ b/crates/figglade/src/controller/quota/granter.rs
@@ -59,7 +59,7 @@
 
 impl Bucket {
     fn fill(&mut self, now: Timestamp) {
-        let filled = self.plan.quota.rate.get() * now.since(self.filled_at).as_secs_f64();
+        let filled = self.plan.refill * now.since(self.filled_at).as_secs_f64();
         self.level = (self.level + filled).min(self.plan.central);
         self.filled_at = self.filled_at.max(now);
     }
@@ -90,7 +90,7 @@
         if self.level >= 1.0 {
             return Duration::ZERO;
         }
-        let seconds = (1.0 - self.level) / self.plan.quota.rate.get();
+        let seconds = (1.0 - self.level) / self.plan.refill;
         Duration::try_from_secs_f64(seconds).unwrap_or(MAX_TOKEN_WAIT).min(MAX_TOKEN_WAIT)
     }
 }
--- a/crates/figglade/src/controller/quota/plan.rs
+++ b/crates/figglade/src/controller/quota/plan.rs
@@ -51,6 +51,9 @@
 pub struct QuotaPlan {
     /// The quota.
     pub quota: CustomerQuota,
+    /// The tokens that the bucket of the granter gains per second. The quota allows the burst in every
+    /// window, so that this may exceed the rate.
+    pub refill: f64,
     /// The maximum number of tokens in the bucket of the granter.
     pub central: f64,
     /// The maximum number of tokens in the reserve of a hub.
@@ -64,7 +67,8 @@
     ///
     /// A reserve is as large as possible while the granter and one hub together still hold the whole
     /// burst, so that a customer below its quota whose callers all use one hub is never refused. A
-    /// reserve holds at least one token, also if the rules leave no room for it.
+    /// reserve holds at least one token, also if the rules leave no room for it. What is left then
+    /// refills the bucket faster, up to one burst in each window.
     pub fn new(quota: &CustomerQuota, rules: &QuotaRules, hubs: usize) -> Self {
         let rate = quota.rate.get();
         let hubs = hubs.max(1) + SPARE_HUBS;
@@ -75,8 +79,12 @@
         let for_hubs = (room - MIN_CENTRAL) / count;
         // The cast saturates: a negative number becomes 0.
         let reserve = (for_burst.min(for_hubs) as u32).max(1);
-        let central = (room - f64::from(reserve) * count).max(MIN_CENTRAL);
-        Self { quota: *quota, central, reserve, hubs }
+        let free = (room - f64::from(reserve) * count).max(MIN_CENTRAL);
+        let for_one_hub = (quota.burst + 1.0 - f64::from(reserve)).max(MIN_CENTRAL);
+        let spare = (free - for_one_hub).max(0.0) / (rules.window + TRANSIT_TIME).as_secs_f64();
+        let extra = spare.min(quota.burst / rules.window.as_secs_f64());
+        let central = free - extra * (rules.window + TRANSIT_TIME).as_secs_f64();
+        Self { quota: *quota, refill: rate + extra, central, reserve, hubs }
     }
 
     /// Returns whether the plan keeps the bound of the rules. Rules with little slack leave no room
@@ -84,7 +92,7 @@
     pub fn keeps_bound(&self, rules: &QuotaRules) -> bool {
         let window = (rules.window + TRANSIT_TIME).as_secs_f64();
         let held = f64::from(self.reserve) * self.hubs as f64;
-        self.quota.rate.get() * window + self.central + held <= rules.bound(&self.quota)
+        self.refill * window + self.central + held <= rules.bound(&self.quota)
     }
 }
 
--- a/crates/figgladed/src/hub/quota.rs
+++ b/crates/figgladed/src/hub/quota.rs
@@ -56,7 +56,7 @@
 /// The time after which no request waits for a refill that has not been answered.
 const SLOW_REFILL: Duration = Duration::from_millis(60);
 /// The maximum time that a request waits for a refill; less than an instance waits for its answer.
-const MAX_WAIT: Duration = Duration::from_millis(30);
+const MAX_WAIT: Duration = Duration::from_millis(15);
 /// The maximum number of requests that wait for a refill.
 const MAX_WAITING: usize = 256;
 /// The time between two checks of whether the own member leads.
--- a/crates/figgladed/src/relay/quota.rs
+++ b/crates/figgladed/src/relay/quota.rs
@@ -25,10 +25,11 @@
     peer_link::PeerHandle,
 };
 
-/// The time within which the first hub has to answer.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(40);
+/// The time within which the first hub has to answer: about half of the shortest latency goals, so that
+/// another hub can still answer within them.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(20);
 /// The time within which another hub has to answer; there may be no link to it yet.
-const OTHER_TIMEOUT: Duration = Duration::from_millis(100);
+const OTHER_TIMEOUT: Duration = Duration::from_millis(60);
 /// The number of hubs asked for one request.
 const MAX_ASKED_HUBS: usize = 2;
 /// The time for which other hubs are asked instead of one that did not answer.
