--- a/crates/figgladed/tests/hub_messages.rs
+++ b/crates/figgladed/tests/hub_messages.rs
@@ -4,7 +4,9 @@
 
 use figglade::{
     CoreShare, Timestamp,
-    controller::{hub_chooser::HubAddress, route_set::RouteSetVersion},
+    controller::{
+        evacuation::EvacuationRevision, hub_chooser::HubAddress, route_set::RouteSetVersion,
+    },
     peer::{decode_payload, encode_compact},
 };
 use figgladed::hub::{HubMessage, HubStatus, SubscribeRequest};
