Name periods in the documentation of quotas

Cause: the documentation build rejects links to private items.

Change: the comments name the period and the customers.

Result: cargo doc passes with warnings denied.

--- a/crates/figglade/src/controller/quota/plan.rs
+++ b/crates/figglade/src/controller/quota/plan.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// Tracks the largest number of hubs known in the last [`HUB_PEAK_PERIOD`]. A hub that cannot be reached
+/// Tracks the largest number of hubs known in the last 60 s. A hub that cannot be reached
 /// still holds its reserve.
 #[derive(Clone, Debug, Default)]
 pub struct HubCensus {
--- a/crates/figglade/src/controller/quota/tally.rs
+++ b/crates/figglade/src/controller/quota/tally.rs
@@ -35,7 +35,7 @@
         self.customers.retain(|customer, _| is_kept(customer));
     }
 
-    /// Returns the customers with refusals and the [`REPORTED_CUSTOMERS`] with the most tokens.
+    /// Returns the customers with refusals and the largest others.
     pub fn report(&self) -> Vec<(&CustomerName, CustomerTally)> {
         let mut all: Vec<_> = self.customers.iter().map(|(name, tally)| (name, *tally)).collect();
         all.sort_by_key(|(_, tally)| std::cmp::Reverse(tally.granted.max(tally.spent)));
