--- a/crates/figglade/src/controller/quota/authority.rs
+++ b/crates/figglade/src/controller/quota/authority.rs
@@ -8,7 +8,7 @@
 pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
 /// The time for which a confirmation allows grants, counted from when it was asked for. A new leader
 /// waits as long before its first grant, because its predecessor may still grant.
-pub const AUTHORITY_LIFETIME: Duration = Duration::from_millis(700);
+pub const AUTHORITY_LIFETIME: Duration = Duration::from_millis(400);
 
 /// The authority of one term.
 #[derive(Clone, Copy, Debug)]
--- a/crates/figgladed/src/hub/follower.rs
+++ b/crates/figgladed/src/hub/follower.rs
@@ -165,7 +165,8 @@
         // The answer to a poll from before a suspension proves nothing of the time since, and one to a
         // former run of this process, whose clock was further on, proves nothing at all.
         let proved_at = status.poll_sent_at.unwrap_or(now);
-        if is_usable && proved_at <= now {
+        // A hub that does not know all targets yet still knows the newest route set.
+        if status.is_current && proved_at <= now {
             self.edge.record_route_proof(status.routes, proved_at);
         }
         self.edge.update_aggregators(status.aggregators);
