Log slow writes of control members and repeated failures to connect

The logs did not show whether a disk or the links were slow: a failed connection was logged once only, a slow sync never.

Change: a member logs a write that took 500 ms or more; a link logs its first failure to connect and each doubling of their number.

--- a/crates/figgladed/src/control/member_driver.rs
+++ b/crates/figgladed/src/control/member_driver.rs
@@ -47,6 +47,8 @@
 /// The number of appended bytes after which a snapshot is taken, which bounds the log's use of disk
 /// and memory.
 const SNAPSHOT_BYTES: usize = 4 << 20;
+/// The duration of a write from which on it is logged: half of the shortest election timeout.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// How long to wait before each attempt to reopen a log whose disk failed.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
 
@@ -353,12 +355,22 @@
 
     fn run_action(&mut self, action: QuorumAction) -> Result<(), MemberFailure> {
         match action {
-            QuorumAction::SaveHardState(state) => self.parts.store.save_hard_state(&state)?,
+            QuorumAction::SaveHardState(state) => {
+                let started = self.now();
+                self.parts.store.save_hard_state(&state)?;
+                self.report_slow_write("term and vote", started);
+            }
             QuorumAction::Append(entries) => {
                 self.appended_bytes += entries.iter().map(payload_bytes).sum::<usize>();
+                let started = self.now();
                 self.parts.store.append(&entries)?;
+                self.report_slow_write("entries", started);
+            }
+            QuorumAction::SaveSnapshot(snapshot) => {
+                let started = self.now();
+                self.parts.store.save_snapshot(&snapshot)?;
+                self.report_slow_write("snapshot", started);
             }
-            QuorumAction::SaveSnapshot(snapshot) => self.parts.store.save_snapshot(&snapshot)?,
             QuorumAction::Send { address, message, .. } => match encode_payload(&message) {
                 Ok(payload) => {
                     let frame = PeerFrame { kind: FrameKind::Quorum, payload };
@@ -386,6 +398,16 @@
         Ok(())
     }
 
+    /// Logs a write that took so long that elections may fail meanwhile: the thread answers nothing
+    /// before a write is synced.
+    fn report_slow_write(&self, what: &str, started: Timestamp) {
+        let elapsed = self.now().since(started);
+        if elapsed >= SLOW_WRITE {
+            warn!(self.parts.log, "quorum: a write to the disk was slow"; "what" => what,
+                "elapsed_ms" => elapsed.as_millis() as u64);
+        }
+    }
+
     fn apply_entries(&mut self, entries: Vec<LogEntry>) -> Result<(), MemberFailure> {
         let mut has_new_holders = false;
         let before = self.ledger.config().version;
--- a/crates/figgladed/src/peer_link/link.rs
+++ b/crates/figgladed/src/peer_link/link.rs
@@ -102,11 +102,15 @@
             }
             Err(error) => {
                 self.context.traffic.connections_failed.add(1);
-                if self.backoff.failures == 0 {
+                // The first failure and each doubling of their number, so that a long outage shows
+                // in the log without filling it.
+                let failures = self.backoff.failures + 1;
+                if failures.is_power_of_two() {
                     slog::info!(
                         self.context.logger,
                         "peer: cannot connect to {}: {error}",
-                        self.key.address
+                        self.key.address;
+                        "failures" => failures
                     );
                 }
                 self.back_off().await;
