--- a/crates/figglade/src/filter/scatter/mod.rs
+++ b/crates/figglade/src/filter/scatter/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod profile;
 mod run;
+mod service;
 mod share;
 mod subset;
 
@@ -26,10 +27,8 @@
     cutoff::{CoverageState, CutoffAction, CutoffTimes, decide_cutoff},
     load::{AttemptEnd, AttemptTicket, MAX_BACKOFF, ReplicaSpec, ReplicaState},
     profile::RouteProfile,
-    run::{
-        AttemptKind, FailureReason, ScatterAction, ScatterEnd, ScatterRules, ScatterRun,
-        ServiceState,
-    },
+    run::{AttemptKind, FailureReason, ScatterAction, ScatterEnd, ScatterRules, ScatterRun},
+    service::ServiceState,
     share::InstanceShare,
     subset::{ConnectionPlan, plan_connections},
 };
--- a/crates/figglade/src/filter/scatter/run.rs
+++ b/crates/figglade/src/filter/scatter/run.rs
@@ -1,21 +1,17 @@
 //! State machine of one request over its services.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use derive_more::Display;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use super::{
-    budget::{BudgetRules, ExtraBudget},
-    choice::{ChoicePurpose, choose_replica, is_any_busy},
+    choice::{ChoicePurpose, is_any_busy},
     cutoff::{CoverageState, CutoffAction, CutoffTimes, decide_cutoff},
     load::{AttemptEnd, ReplicaState},
     profile::RouteProfile,
+    service::ServiceState,
 };
 use crate::{ServiceName, Timestamp, controller::route_set::RepeatRule};
 
@@ -39,62 +35,6 @@
 /// The delay before a hedge that found no suitable target or no budget is tried again.
 const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// The targets of one service and its budget of extra attempts, as held by this instance.
-#[derive(Debug)]
-pub struct ServiceState {
-    /// The name of the service.
-    pub name: ServiceName,
-    /// The targets of the service.
-    pub replicas: RefCell<Vec<Rc<ReplicaState>>>,
-    /// The bound on extra attempts.
-    pub budget_rules: Cell<BudgetRules>,
-    budget: RefCell<ExtraBudget>,
-}
-
-impl ServiceState {
-    /// Creates a service without targets.
-    pub fn new(name: ServiceName, rules: BudgetRules) -> Self {
-        Self {
-            name,
-            replicas: RefCell::default(),
-            budget_rules: Cell::new(rules),
-            budget: RefCell::default(),
-        }
-    }
-
-    fn count_first(&self, now: Timestamp) {
-        self.budget.borrow_mut().count_first(&self.budget_rules.get(), now);
-    }
-
-    fn try_spend(&self, now: Timestamp) -> bool {
-        self.budget.borrow_mut().try_spend(&self.budget_rules.get(), now)
-    }
-
-    /// Returns whether some target can be sent an attempt, now or once a connection is free.
-    fn is_reachable(&self, now: Timestamp) -> bool {
-        let replicas = self.replicas.borrow();
-        replicas.iter().any(|replica| replica.is_open(now))
-    }
-
-    /// Returns the earliest time at which some target can be sent an attempt, or `None` if the
-    /// service has no target.
-    fn opens_at(&self) -> Option<Timestamp> {
-        let replicas = self.replicas.borrow();
-        replicas.iter().filter_map(|replica| replica.opens_at()).min()
-    }
-
-    fn choose(
-        &self,
-        tried: impl Fn(&ReplicaState) -> bool,
-        purpose: ChoicePurpose,
-        now: Timestamp,
-        rng: &mut impl Rng,
-    ) -> Option<Rc<ReplicaState>> {
-        let replicas = self.replicas.borrow();
-        choose_replica(&replicas, tried, purpose, now, rng).cloned()
-    }
-}
-
 /// The rules of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct ScatterRules {
