--- a/crates/figglade/src/filter/intake.rs
+++ b/crates/figglade/src/filter/intake.rs
@@ -25,7 +25,7 @@
 /// bytes do not keep it from giving way.
 const PROGRESS_BYTES: usize = 4 << 10;
 /// How often a request takes the bytes of its body while it is served: in the body that is kept for a
-/// retry, and in the copy that is being sent.
+/// retry, and in the copy that is being sent. A search to many slow targets takes more.
 const SERVED_COPIES: usize = 2;
 
 /// The bounds on what a process holds for its callers.
--- a/crates/figgladed/src/relay/handover.rs
+++ b/crates/figgladed/src/relay/handover.rs
@@ -29,7 +29,8 @@
 /// The fraction of the time left to the latency goal within which an aggregator has to accept a
 /// search. After two that do not, most of the time is still left for the search.
 const PROBE_TIME_FRACTION: f64 = 0.2;
-/// The lower bound of that time; a busy aggregator on a tenth of a core answers within it.
+/// The lower bound of that time; an aggregator on a tenth of a core answers within it unless its queue
+/// is longer than that.
 const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(10);
 /// The upper bound of that time.
 const MAX_PROBE_TIMEOUT: Duration = Duration::from_millis(40);
@@ -128,8 +129,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct HandoverReport {
     pub(super) end: Option<HandoverEnd>,
-    /// The time until one of the aggregators that were tried has room, if all of them are busy with
-    /// work that takes precedence.
+    /// The time until one of the aggregators that were tried has room, if one declined because it is
+    /// busy and none accepted.
     pub(super) overloaded_for: Option<Duration>,
     /// The aggregators that were tried and the result of each.
     pub(super) summary: String,
--- a/crates/figgladed/src/relay/search_message.rs
+++ b/crates/figgladed/src/relay/search_message.rs
@@ -97,7 +97,7 @@
     Busy,
     /// It is stopping.
     Stopping,
-    /// It is busy with work that takes precedence. Sent only in answer to probes with a
+    /// It is busy with work that takes precedence, or cannot answer in time. Sent only in answer to probes with a
     /// [`ProbeLoad`], because earlier releases cannot decode it.
     #[display("overloaded")]
     Overloaded {
