--- a/review/support-2/mod.rs
+++ b/review/support-2/mod.rs
@@ -295,6 +295,13 @@
         self.children.retain(|(held, kind, _)| *held != machine || *kind != program);
     }
 
+    /// Returns the process id of a program that this deployment started.
+    pub fn pid(&self, machine: usize, program: Program) -> u32 {
+        let mut held = self.children.iter();
+        held.find(|(at, kind, _)| *at == machine && *kind == program)
+            .map_or(0, |(_, _, child)| child.id())
+    }
+
     /// Returns whether a program still runs.
     pub fn is_running(&mut self, machine: usize, program: Program) -> bool {
         self.children.iter_mut().any(|(held, kind, child)| {
